--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -203,7 +203,11 @@
 
 // unparkReady answers the parked reports for which there are orders now, or
 // whose time is up.
+//
+// It goes through all of them, so it is called after what may have made
+// orders and with the ticks, and not after every message.
 func (c *Core) unparkReady() {
+	c.lead.unparkWanted = false
 	for name, p := range c.lead.parked {
 		ready := c.now >= p.until
 		if m := c.lead.fleet[name]; m != nil && !ready {
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -24,6 +24,7 @@
 
 	boundsSeq     uint64
 	boundsWritten int64
+	boundsAt      int64 // when they were last looked at
 	boundsFlying  bool
 	// known are the images that the last leader knew of, inherited its
 	// sources; hints is what this one has written.
@@ -43,7 +44,10 @@
 	ordinary map[string]int64
 	cloud    cloudState
 	parked   map[string]parked
-	warm     warmState
+	// unparkWanted: orders may have come for parked reports.
+	unparkWanted bool
+	sweptAt      int64
+	warm         warmState
 }
 
 func newLeaderState(now int64) leaderState {
@@ -164,7 +168,7 @@
 			for i := range items {
 				c.committed(&items[i], m.Ledger)
 			}
-			l.planWanted = true
+			l.planWanted, l.unparkWanted = true, true
 			return
 		}
 		// Refused, or nobody knows. Either way the same keys are written
@@ -209,11 +213,10 @@
 
 // oldest is when the oldest unwritten change of a job was made.
 func (c *Core) oldest(j *ledger.Job) int64 {
-	at := c.now
-	for _, n := range j.Dirty() {
-		at = min(at, j.Chunk(n).Queued)
+	if at := j.Queued(); at != 0 {
+		return at
 	}
-	return at
+	return c.now
 }
 
 // committed applies what a transaction made true.
@@ -334,7 +337,7 @@
 	delete(c.lead.dirty, j)
 	j.EachPlaced(func(i int, t *ledger.Task) {
 		if m := c.lead.fleet[t.Machine]; m != nil {
-			delete(m.Placed, fleet.Ref{Job: j, Index: i})
+			m.Drop(fleet.Ref{Job: j, Index: i})
 		}
 	})
 	c.lead.planWanted = true
@@ -344,7 +347,7 @@
 func (c *Core) clear(j *ledger.Job, i int) {
 	t := j.Task(i)
 	if m := c.lead.fleet[t.Machine]; m != nil {
-		delete(m.Placed, fleet.Ref{Job: j, Index: i})
+		m.Drop(fleet.Ref{Job: j, Index: i})
 		if len(m.Placed) == 0 {
 			m.IdleSince = c.now
 		}
@@ -364,5 +367,6 @@
 		t.StopAt = c.now
 	}
 	t.Stop, t.Grace = why, grace
+	c.lead.unparkWanted = true
 	c.direct(j, i)
 }
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -150,7 +150,7 @@
 		c.noteUse(j.Spec)
 		j.EachPlaced(func(i int, t *ledger.Task) {
 			t.Phase, t.Stop = ledger.Unseen, ""
-			c.machine(t.Machine).Placed[fleet.Ref{Job: j, Index: i}] = struct{}{}
+			c.machine(t.Machine).Put(fleet.Ref{Job: j, Index: i})
 			placed++
 		})
 		switch {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -57,8 +57,12 @@
 	NoticeAt int64
 	// Listed: the cloud's newest list has it.
 	Listed bool
-	// Placed are the stored or planned placements on it.
+	// Placed are the stored or planned placements on it, used what they take;
+	// Put and Drop change both.
 	Placed map[Ref]struct{}
+	used   ledger.Vec
+	// Hash is the name's, which decides the partition.
+	Hash uint32
 	// Orphans is what reported tasks without a placement still occupy.
 	Orphans ledger.Vec
 	// Images are the images that attempts here have fetched or are fetching.
@@ -95,7 +99,7 @@
 
 // New makes a machine that nothing is known of but its name.
 func New(name string, now int64) *Machine {
-	return &Machine{Name: name, Placed: make(map[Ref]struct{}), Images: make(map[string]bool),
+	return &Machine{Name: name, Hash: Hash(name), Placed: make(map[Ref]struct{}), Images: make(map[string]bool),
 		BadJobs: make(map[string]bool), Answered: now, IdleSince: now}
 }
 
@@ -104,15 +108,25 @@
 	return session > m.Session || session == m.Session && seq > m.Seq
 }
 
-// Free is what its placements and orphans leave of it.
-func (m *Machine) Free() ledger.Vec {
-	v := m.Cap.Sub(m.Orphans)
-	for r := range m.Placed {
-		v = v.Sub(r.Job.Need)
+// Put adds a placement.
+func (m *Machine) Put(r Ref) {
+	if _, ok := m.Placed[r]; !ok {
+		m.Placed[r] = struct{}{}
+		m.used = m.used.Add(r.Job.Need)
+	}
+}
+
+// Drop removes a placement.
+func (m *Machine) Drop(r Ref) {
+	if _, ok := m.Placed[r]; ok {
+		delete(m.Placed, r)
+		m.used = m.used.Sub(r.Job.Need)
 	}
-	return v
 }
 
+// Free is what its placements and orphans leave of it.
+func (m *Machine) Free() ledger.Vec { return m.Cap.Sub(m.Orphans).Sub(m.used) }
+
 // Hash spreads machines over the partitions, whatever their names stand for.
 func Hash(name string) uint32 {
 	h := fnv.New32a()
@@ -138,8 +152,10 @@
 }
 
 // Part is the partition of a machine.
-func (b *Bounds) Part(name string) int {
-	h := Hash(name)
+func (b *Bounds) Part(name string) int { return b.PartOf(Hash(name)) }
+
+// PartOf is the partition of a machine whose name has a hash.
+func (b *Bounds) PartOf(h uint32) int {
 	for i, c := range b.Cuts {
 		if h < c {
 			return i
@@ -157,12 +173,8 @@
 }
 
 // Cut makes n partitions that share the machines of every type equally, as
-// far as the order of their hashes allows.
-func Cut(names []string, n int) []uint32 {
-	hashes := make([]uint32, len(names))
-	for i, s := range names {
-		hashes[i] = Hash(s)
-	}
+// far as the order of their hashes allows. It sorts the hashes.
+func Cut(hashes []uint32, n int) []uint32 {
 	slices.SortFunc(hashes, cmp.Compare)
 	cuts := make([]uint32, n-1)
 	for i := range cuts {
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -158,6 +158,9 @@
 	chunks  []Chunk
 	// counters kept in step with tasks
 	NumDone, NumPlaced, NumRunning int
+	// overlap counts tasks that are done while their placement still stands;
+	// counting them anew for every question would cost a walk of all tasks.
+	overlap int
 	// Tried: the job's trial is behind it.
 	Tried bool
 	// Submitted is the time of day of the submission, Known the same on this
@@ -194,21 +197,7 @@
 
 // Unplaced is how many tasks are neither done nor placed.
 func (j *Job) Unplaced() int {
-	return len(j.tasks) - j.NumDone - j.NumPlaced + j.overlap()
-}
-
-// overlap counts tasks that are done while their placement still stands.
-func (j *Job) overlap() int {
-	if j.NumDone == 0 || j.NumPlaced == 0 {
-		return 0
-	}
-	n := 0
-	for i := range j.tasks {
-		if j.tasks[i].Done && j.tasks[i].Machine != "" {
-			n++
-		}
-	}
-	return n
+	return len(j.tasks) - j.NumDone - j.NumPlaced + j.overlap
 }
 
 // NextUnplaced returns an unplaced task from index from on, or -1.
@@ -260,6 +249,9 @@
 	j.SetPhase(t, Unseen)
 	j.touch(&j.chunks[i/ChunkTasks], now)
 	j.NumPlaced--
+	if t.Done {
+		j.overlap--
+	}
 	*t = Task{Done: t.Done, Attempt: t.Attempt}
 }
 
@@ -271,6 +263,9 @@
 	}
 	t.Done = true
 	j.NumDone++
+	if t.Machine != "" {
+		j.overlap++
+	}
 	j.touch(&j.chunks[i/ChunkTasks], now)
 }
 
@@ -317,6 +312,17 @@
 	return l
 }
 
+// Queued is when the oldest change that waits to be written was made, or 0.
+func (j *Job) Queued() int64 {
+	var at int64
+	for i := range j.chunks {
+		if c := &j.chunks[i]; c.dirty && !c.flying && (at == 0 || c.Queued < at) {
+			at = c.Queued
+		}
+	}
+	return at
+}
+
 // Take encodes chunk c for a write that is about to be sent.
 func (j *Job) Take(c int) (value []byte, version uint64) {
 	ch := &j.chunks[c]
@@ -401,6 +407,9 @@
 		if t.Machine != "" {
 			j.SetPhase(t, Unseen)
 			j.NumPlaced--
+			if t.Done {
+				j.overlap--
+			}
 		}
 		if t.Done {
 			j.NumDone--
@@ -418,8 +427,14 @@
 				return fmt.Errorf("job %s chunk %d: task %d", j.ID, c, i)
 			}
 			t := &j.tasks[i]
+			if t.Machine != "" {
+				return fmt.Errorf("job %s chunk %d: task %d is placed twice", j.ID, c, i)
+			}
 			t.Machine, t.Attempt, t.Stored, t.Sent, t.Since = m, l[k+1], true, true, now
 			j.NumPlaced++
+			if t.Done {
+				j.overlap++
+			}
 		}
 	}
 	if c == 0 {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -125,7 +125,7 @@
 			"spot", m.Spot, "image", m.Images[j.Image], "known_s", float64(c.now-j.Known)/1e6)
 		j.Place(s.Index, m.Name, a, c.now)
 		j.Task(s.Index).Trial = c.wantsTrial(j)
-		m.Placed[fleet.Ref{Job: j, Index: s.Index}] = struct{}{}
+		m.Put(fleet.Ref{Job: j, Index: s.Index})
 		m.IdleSince = 0
 		c.mark(j)
 	}
@@ -158,7 +158,7 @@
 		return
 	}
 	for _, j := range c.jobs {
-		if j.NumPlaced == 0 || j.Tried || j.Over != "" {
+		if j.NumPlaced == 0 || j.Tried || j.Over != "" || j.Checkpoint == 0 {
 			continue
 		}
 		due := false
@@ -198,10 +198,10 @@
 		if !c.usable(m) {
 			continue
 		}
-		sm := &sched.Machine{Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Part: c.bounds.Part(m.Name),
-			Cap: m.Cap, Free: m.Free(), FetchRate: m.FetchRate, Images: make(map[string]bool, len(m.Images))}
-		for im := range m.Images {
-			sm.Images[im] = true
+		sm := &sched.Machine{Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Part: c.bounds.PartOf(m.Hash),
+			Cap: m.Cap, Free: m.Free(), FetchRate: m.FetchRate, Images: m.Images}
+		if len(m.Placed) > 0 {
+			sm.Runs = make([]sched.Run, 0, len(m.Placed)+1)
 		}
 		for ref := range m.Placed {
 			r := c.run(m, ref)
@@ -223,7 +223,7 @@
 func (c *Core) run(m *fleet.Machine, ref fleet.Ref) sched.Run {
 	j, t := ref.Job, ref.Job.Task(ref.Index)
 	report := config.Secs(c.set.Workers.ReportS)
-	r := sched.Run{Need: j.Need, Priority: j.Priority, Team: j.Team, Job: j, Index: ref.Index}
+	r := sched.Run{Job: j, Index: ref.Index}
 	switch {
 	case j.Over != "" || t.Stop != "":
 		r.End = max(t.StopAt+t.Grace+report, c.now+second)
@@ -254,7 +254,7 @@
 		// A start that is stopped this early was no start for its user.
 		r.Lost += 30 * second
 	}
-	r.Lost *= max(r.Need.GPU, r.Need.CPU/8)
+	r.Lost *= max(j.Need.GPU, j.Need.CPU/8)
 	return r
 }
 
@@ -411,9 +411,14 @@
 	if c.now-l.plannedAt >= 2*second {
 		l.planWanted = true // estimated ends move with time
 	}
+	l.unparkWanted = true // the time of some may be up
 	c.boundsTick()
-	c.silentTick()
-	c.cloudTick()
+	if c.now-l.sweptAt >= second/4 {
+		// What goes through all machines, and can wait.
+		l.sweptAt = c.now
+		c.silentTick()
+		c.cloudTick()
+	}
 	c.inherit()
 	c.warmTick()
 	c.hintsTick()
@@ -426,7 +431,7 @@
 		c.plan()
 	}
 	c.commitNow()
-	if c.lead != nil {
+	if l := c.lead; l != nil && l.unparkWanted {
 		c.unparkReady()
 	}
 }
@@ -472,18 +477,20 @@
 // lost, when machines have come or gone, and before the term is over.
 func (c *Core) boundsTick() {
 	l := c.lead
-	if l.boundsFlying || c.now-l.boundsWritten < second {
+	if l.boundsFlying || c.now-l.boundsWritten < second || c.now-l.boundsAt < second/4 {
 		return
 	}
-	var names []string
+	l.boundsAt = c.now
+	// A machine counts while it reports: the interval is the settings'.
+	var hashes []uint32
 	for _, m := range l.fleet {
-		if m.Heard != 0 && c.now-m.Heard < 10*second {
-			names = append(names, m.Name)
+		if m.Heard != 0 && c.now-m.Heard < 10*second+2*config.Secs(c.set.Workers.ReportS) {
+			hashes = append(hashes, m.Hash)
 		}
 	}
 	b := fleet.Bounds{Cuts: c.bounds.Cuts, Holders: c.holders(), Term: c.set.Ops.Term, Token: l.token, Seq: l.boundsSeq + 1}
-	if len(b.Cuts) != queues-1 || c.unequal(names) {
-		b.Cuts = fleet.Cut(names, queues)
+	if len(b.Cuts) != queues-1 || c.unequal(hashes) {
+		b.Cuts = fleet.Cut(hashes, queues)
 	}
 	same := c.bounds.Token == l.token && slices.Equal(b.Holders, c.bounds.Holders) && slices.Equal(b.Cuts, c.bounds.Cuts)
 	if same && c.now-l.boundsWritten < c.set.Ops.Term/2 {
@@ -541,13 +548,13 @@
 }
 
 // unequal says whether the partitions have drifted apart in size.
-func (c *Core) unequal(names []string) bool {
+func (c *Core) unequal(hashes []uint32) bool {
 	var n [queues]int
-	for _, s := range names {
-		n[min(c.bounds.Part(s), queues-1)]++
+	for _, h := range hashes {
+		n[min(c.bounds.PartOf(h), queues-1)]++
 	}
 	lo, hi := slices.Min(n[:]), slices.Max(n[:])
-	return hi-lo > 2+len(names)/6
+	return hi-lo > 2+len(hashes)/6
 }
 
 // holders leases the partitions to the controllers that answer, and that
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -53,7 +53,7 @@
 		t := j.Task(i)
 		t.Stored, t.Sent, t.Seen, t.Started, t.Trial = true, true, true, r.now, trial
 		j.SetPhase(t, ledger.Running)
-		m.Placed[fleet.Ref{Job: j, Index: i}] = struct{}{}
+		m.Put(fleet.Ref{Job: j, Index: i})
 	}
 }
 
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -12,10 +12,7 @@
 
 // Run is something that occupies a machine until about End.
 type Run struct {
-	End      int64
-	Need     ledger.Vec
-	Priority int
-	Team     string
+	End int64
 	// Job, Index name the task; Lost is the work that stopping it costs,
 	// Stoppable whether it may be stopped now.
 	Job       *ledger.Job
@@ -40,11 +37,18 @@
 	Spot             bool
 	Part             int
 	Cap, Free        ledger.Vec
-	// FetchRate is in MB a second, Images what it has or is fetching.
+	// FetchRate is in MB a second, Images what it has or is fetching; the
+	// planner only reads it, and keeps what it adds itself in coming.
 	FetchRate int64
 	Images    map[string]bool
 	Runs      []Run
 	holds     []hold
+	coming    []string
+}
+
+// has says whether the machine has an image or will have it.
+func (m *Machine) has(image string) bool {
+	return m.Images[image] || slices.Contains(m.coming, image)
 }
 
 // Job is a job with tasks that wait.
@@ -355,7 +359,7 @@
 }
 
 func (j *Job) fetch(m *Machine) int64 {
-	if j.Image == "" || m.Images[j.Image] || m.FetchRate <= 0 {
+	if j.Image == "" || m.FetchRate <= 0 || m.has(j.Image) {
 		return 0
 	}
 	return j.ImageMB * 1_000_000 / m.FetchRate
@@ -412,7 +416,7 @@
 	free := m.Free
 	for i := range m.Runs {
 		if m.Runs[i].End <= at {
-			free = free.Add(m.Runs[i].Need)
+			free = free.Add(m.Runs[i].Job.Need)
 		}
 	}
 	return free
@@ -420,7 +424,7 @@
 
 func (p *Planner) occupy(j *Job, m *Machine, index int) {
 	m.Free = m.Free.Sub(j.Need)
-	m.Runs = append(m.Runs, Run{End: p.Now + j.lengthOn(m), Need: j.Need, Priority: j.Priority, Team: j.Team, Job: j.Job, Index: index})
+	m.Runs = append(m.Runs, Run{End: p.Now + j.lengthOn(m), Job: j.Job, Index: index})
 }
 
 func (p *Planner) place(j *Job, m *Machine) {
@@ -434,8 +438,8 @@
 	j.Room.CPU -= j.Need.CPU
 	j.Room.GPU -= j.Need.GPU
 	j.zones()[m.Zone]++
-	if j.Image != "" {
-		m.Images[j.Image] = true
+	if j.Image != "" && !m.has(j.Image) {
+		m.coming = append(m.coming, j.Image)
 	}
 	p.Budget--
 	p.plan.Starts = append(p.plan.Starts, Start{Job: j, Index: i, Machine: m})
@@ -513,7 +517,7 @@
 	runs := slices.Clone(m.Runs)
 	slices.SortFunc(runs, func(a, b Run) int { return cmp.Compare(a.End, b.End) })
 	for _, r := range runs {
-		free = free.Add(r.Need)
+		free = free.Add(r.Job.Need)
 		take(r.End)
 	}
 	return out
@@ -591,19 +595,19 @@
 		if !r.Stoppable {
 			continue
 		}
-		over := j.Guaranteed && !r.Guaranteed && r.Team != j.Team && p.TeamOver != nil && p.TeamOver(r.Team, r.Need)
-		if r.Priority < j.Priority || over {
+		over := j.Guaranteed && !r.Guaranteed && r.Job.Team != j.Team && p.TeamOver != nil && p.TeamOver(r.Job.Team, r.Job.Need)
+		if r.Job.Priority < j.Priority || over {
 			cand = append(cand, r)
 		}
 	}
 	slices.SortStableFunc(cand, func(a, b Run) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Lost, b.Lost))
+		return cmp.Or(cmp.Compare(a.Job.Priority, b.Job.Priority), cmp.Compare(a.Lost, b.Lost))
 	})
 	for _, r := range cand {
 		if j.Need.Fits(free) {
 			break
 		}
-		free = free.Add(r.Need)
+		free = free.Add(r.Job.Need)
 		stops = append(stops, r)
 		lost += r.Lost
 	}
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -16,7 +16,7 @@
 	for i := 0; i+1 < len(runs); i += 2 {
 		need := ledger.Vec{CPU: runs[i] * 1000}
 		m.Free = m.Free.Sub(need)
-		m.Runs = append(m.Runs, Run{End: runs[i+1] * s, Need: need, Priority: 0, Team: "other", Job: &ledger.Job{Spec: &ledger.Spec{}}, Index: i, Stoppable: true, Lost: runs[i+1]})
+		m.Runs = append(m.Runs, Run{End: runs[i+1] * s, Job: &ledger.Job{Spec: &ledger.Spec{Need: need, Team: "other"}}, Index: i, Stoppable: true, Lost: runs[i+1]})
 	}
 	return m
 }
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -100,7 +100,7 @@
 	if c.now-l.warm.at < second || !c.sure() {
 		return
 	}
-	l.warm.at = c.now
+	l.warm.at, l.unparkWanted = c.now, true
 	var idle []*fleet.Machine
 	warming, free := 0, 0
 	for _, m := range l.fleet {
