A trial ends only for a job that would go first; room is made for several urgent jobs

Tried: a trial ends only where a waiting job would come before the requeued one; a queue's pivot is followed by one more urgent job for each 64 machines, which leaves small fleets as they were.

--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -38,7 +38,7 @@
 
 var (
 	kinds      = map[string]ledger.Kind{"sweep": ledger.Array, "gang": ledger.Gang, "standing": ledger.Service}
-	priorities = map[string]int{"idle": 0, "normal": 1, "urgent": 2, "production": 3}
+	priorities = map[string]int{"idle": ledger.Idle, "normal": ledger.Normal, "urgent": ledger.Urgent, "production": ledger.Production}
 )
 
 // MaxID bounds job ids, so that every key made of them fits the store.
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -21,6 +21,14 @@
 // MaxTasks is the largest job.
 const MaxTasks = 100_000
 
+// Priorities of jobs.
+const (
+	Idle = iota
+	Normal
+	Urgent
+	Production
+)
+
 // Kind says how a job's tasks belong together.
 type Kind string
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -19,6 +19,9 @@
 	planTasks = 400
 )
 
+// machinesAhead is for how many machines one more waiting job is held room.
+const machinesAhead = 64
+
 type pivotView struct {
 	queue int
 	job   string
@@ -102,7 +105,7 @@
 	jobs := c.schedJobs(used, guaranteed)
 	report := config.Secs(c.set.Workers.ReportS)
 	p := sched.Planner{Now: c.now, Queues: queues, Machines: machines, Budget: planTasks, Patience: 2*report + 3*second,
-		SpotFirst: c.spotFirst(),
+		SpotFirst: c.spotFirst(), Ahead: len(machines) / machinesAhead,
 		TeamOver: func(team string, need ledger.Vec) bool {
 			for i := range c.set.Teams {
 				if t := &c.set.Teams[i]; t.Name == team {
@@ -151,8 +154,9 @@
 }
 
 // endTrials stops trials that are over while somebody waits for a machine
-// they are on. With nobody waiting the job would be started again at once,
-// so it goes on as if it had been.
+// they are on who would come before the job when it is requeued. Otherwise
+// the job itself would be started again there at once, after a save and an
+// image fetch for nothing, so it goes on as if it had been.
 func (c *Core) endTrials(plan sched.Plan) {
 	if len(plan.Waiting) == 0 {
 		return
@@ -163,7 +167,7 @@
 		}
 		due := false
 		j.EachPlaced(func(i int, t *ledger.Task) {
-			due = due || t.Trial && t.Stop == "" && t.Phase == ledger.Running && c.now-t.Since >= c.set.Ops.Trial && c.wanted(t.Machine, plan.Waiting)
+			due = due || t.Trial && t.Stop == "" && t.Phase == ledger.Running && c.now-t.Since >= c.set.Ops.Trial && c.wanted(t.Machine, j, plan.Waiting)
 		})
 		if !due {
 			continue
@@ -177,14 +181,16 @@
 	}
 }
 
-// wanted says whether a waiting job could use a machine.
-func (c *Core) wanted(machine string, waiting []*sched.Job) bool {
+// wanted says whether a job that waits could use the machine that j is on, and
+// would go before j in the queue.
+func (c *Core) wanted(machine string, j *ledger.Job, waiting []*sched.Job) bool {
 	m := c.lead.fleet[machine]
 	if m == nil {
 		return false
 	}
+	requeued := &sched.Job{Job: j, Turn: c.turn(j)}
 	for _, w := range waiting {
-		if w.Allows(m.Type, m.Zone, m.Spot, m.Cap) && (w.Need.GPU > 0 || m.Cap.GPU == 0) {
+		if sched.Before(w, requeued) && w.Allows(m.Type, m.Zone, m.Spot, m.Cap) && (w.Need.GPU > 0 || m.Cap.GPU == 0) {
 			return true
 		}
 	}
@@ -311,10 +317,7 @@
 		if j.Kind == ledger.Service {
 			sj.Length = forever
 		}
-		sj.Late, sj.Turn = c.late(j), j.Known
-		if j.Deadline > 0 {
-			sj.Turn += max(0, j.Deadline-j.Estimate)
-		}
+		sj.Late, sj.Turn = c.late(j), c.turn(j)
 		if j.OneZone || j.Spread {
 			sj.ZoneOf = c.zonesOf(j)
 			if sj.ZoneOf == nil {
@@ -326,6 +329,14 @@
 	return jobs
 }
 
+// turn is when a job came or, with a deadline, its latest start.
+func (c *Core) turn(j *ledger.Job) int64 {
+	if j.Deadline > 0 {
+		return j.Known + max(0, j.Deadline-j.Estimate)
+	}
+	return j.Known
+}
+
 // ordinaryFor is how long a job that may use ordinary machines only keeps
 // them free for its like.
 const ordinaryFor = 600 * second
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -64,11 +64,14 @@
 		name    string
 		after   int64
 		waiting bool
+		early   bool // the one that waits came first
 		stop    string
 	}{
-		{"not over", 100 * second, true, ""},
-		{"over, nobody waits", 200 * second, false, ""},
-		{"over, somebody waits", 200 * second, true, stopTrial},
+		{"not over", 100 * second, true, true, ""},
+		{"over, nobody waits", 200 * second, false, false, ""},
+		{"over, somebody waits", 200 * second, true, true, stopTrial},
+		// Requeued it would go before the other, and start again at once.
+		{"over, somebody waits who came later", 200 * second, true, false, ""},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -78,7 +81,10 @@
 			r.now += tc.after
 			if tc.waiting {
 				w := ledger.NewJob(&ledger.Spec{ID: "waits", Team: "t", Kind: ledger.Array, Tasks: 1, Need: ledger.Vec{CPU: 1000}, Estimate: 100 * second})
-				w.Arrival = 99
+				w.Arrival, w.Known = 99, r.now
+				if tc.early {
+					w.Known = -second
+				}
 				r.c.jobs["waits"] = w
 			} else {
 				delete(r.c.jobs, "j")
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -123,6 +123,10 @@
 	// Budget bounds the tasks placed in a round, so that a large array can
 	// not keep reports waiting; the next round goes on.
 	Budget int
+	// Ahead is how many urgent jobs after a queue's pivot are held room for
+	// as the pivot is. Making room takes seconds, so that one at a time
+	// starves a large deployment's urgent jobs; a small one needs none.
+	Ahead int
 	// Patience is how far off a start may be before lower work is stopped.
 	Patience int64
 	// SpotFirst are the types whose ordinary machines are wanted by jobs that
@@ -148,6 +152,9 @@
 	return cmp.Or(cmp.Compare(b.Priority, a.Priority), late, cmp.Compare(a.Turn, b.Turn), cmp.Compare(a.Arrival, b.Arrival))
 }
 
+// Before says whether a goes before b where both wait.
+func Before(a, b *Job) bool { return order(a, b) < 0 }
+
 // Plan walks the queues.
 func (p *Planner) Plan(jobs []*Job) Plan {
 	queues := make([][]*Job, p.Queues)
@@ -180,14 +187,14 @@
 // is held only what no higher one claims.
 func (p *Planner) pivots(queues [][]*Job) {
 	at := make([]int, len(queues))
-	held := make([]bool, len(queues))
+	held := make([]int, len(queues))
 	for {
 		best := -1
 		for q := range queues {
 			for at[q] < len(queues[q]) && p.through(queues[q][at[q]]) {
 				at[q]++
 			}
-			if held[q] || at[q] >= len(queues[q]) {
+			if at[q] >= len(queues[q]) || held[q] > 0 && (held[q] > p.Ahead || queues[q][at[q]].Priority < ledger.Urgent) {
 				continue
 			}
 			if best < 0 || order(queues[q][at[q]], queues[best][at[best]]) < 0 {
@@ -210,7 +217,8 @@
 			at[best]++
 			continue
 		}
-		held[best] = true
+		at[best]++
+		held[best]++
 	}
 }
 
