A new leader spares a cut zone's machines; paced lists; relays not bound to 64

A leader that begins while a zone is cut off has heard none of its machines, counted none of them as silent, took them for a few dead ones and released the whole zone. TestSilent has the case; it fails without the fix.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/zinclb/zinclb/internal/core"
@@ -71,8 +72,8 @@
 	return t
 }
 
-// List reads all machines, page by page.
-func (c *Client) List() core.Machines {
+// List reads all machines, page by page with a gap between them.
+func (c *Client) List(gap time.Duration) core.Machines {
 	var out core.Machines
 	after := ""
 	for {
@@ -88,7 +89,7 @@
 			} `json:"stokers"`
 			More bool `json:"truncated"`
 		}
-		if _, err := c.do("GET", "/rentals?after="+url.QueryEscape(after)+"&most=500", nil, &r); err != nil {
+		if _, err := c.do("GET", "/rentals?after="+url.QueryEscape(after)+"&most="+strconv.Itoa(core.ListPage), nil, &r); err != nil {
 			return core.Machines{Err: err}
 		}
 		for _, m := range r.Machines {
@@ -98,6 +99,7 @@
 		if !r.More || len(r.Machines) == 0 {
 			return out
 		}
+		time.Sleep(gap)
 	}
 }
 
--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -180,7 +180,7 @@
 // How long an answer may wait. The worker gives up on it after 4 s and tells
 // nothing new meanwhile, so only a machine without tasks waits for long.
 const (
-	parkIdle = 2 * second
+	parkIdle = 3 * second
 	parkExit = 400_000
 )
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -53,6 +53,9 @@
 	Lease uint64
 }
 
+// ListPage is how many machines a page of the cloud's list holds.
+const ListPage = 500
+
 // Messages to the core.
 type (
 	// Tick comes many times a second, with the time of day in microseconds.
@@ -290,7 +293,10 @@
 	// GetTypes and ListMachines ask the cloud.
 	GetTypes struct{}
 	// ListMachines is answered by Machines.
-	ListMachines struct{}
+	ListMachines struct {
+		// Gap is the time between two pages.
+		Gap int64
+	}
 	// Rent asks for machines under a request name of its own.
 	Rent struct {
 		Name, Type, Zone string
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -205,7 +205,7 @@
 			continue
 		}
 		sm := &sched.Machine{Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Part: c.bounds.PartOf(m.Hash),
-			Cap: m.Cap, Free: m.Free(), FetchRate: m.FetchRate, Images: m.Images}
+			Cap: m.Cap, Free: m.Free(), FetchRate: m.FetchRate, Images: m.Images, Reach: c.reach(m)}
 		if len(m.Placed) > 0 {
 			sm.Runs = make([]sched.Run, 0, len(m.Placed)+1)
 		}
@@ -224,6 +224,17 @@
 	return list, byName
 }
 
+// reach is how long it probably takes until orders can get to a machine: they
+// travel in the answer to a report, so a parked one takes them at once, and
+// else they wait for the next. Where reports are seconds apart that decides
+// when an urgent job starts.
+func (c *Core) reach(m *fleet.Machine) int64 {
+	if _, ok := c.lead.parked[m.Name]; ok {
+		return 0
+	}
+	return max(0, m.Heard+config.Secs(c.set.Workers.ReportS)-c.now)
+}
+
 // run estimates how long a placed task holds its room. One past its estimate
 // is taken to end one report interval later.
 func (c *Core) run(m *fleet.Machine, ref fleet.Ref) sched.Run {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -68,9 +68,13 @@
 		}
 	}
 	c.releaseTick(call)
-	if !s.listing && c.now-s.listAt >= 5*second && call() {
+	// A list takes a call for each page, which have to be paced as well:
+	// large fleets are listed less often, so that most calls stay for renting.
+	pages := int64(1 + len(c.lead.fleet)/ListPage)
+	if !s.listing && c.now-s.listAt >= pages*5*second && call() {
 		s.listing, s.listAt = true, c.now
-		c.emit(ListMachines{})
+		s.level -= float64(pages - 1)
+		c.emit(ListMachines{Gap: int64(1e6 / rate)})
 	}
 	c.rentTick(call)
 }
@@ -167,7 +171,10 @@
 	idle := map[string][]*fleet.Machine{}
 	for _, m := range c.lead.fleet {
 		quiet := c.now - max(m.Heard, c.lead.since)
-		if m.Heard != 0 && quiet > 2*report && quiet < 60*second {
+		// One that has not been heard under this leader counts too, if it is
+		// known to have work: else a leader that begins while a zone is cut
+		// off takes all of the zone's machines for a few dead ones.
+		if quiet > 2*report && (len(m.Placed) > 0 || m.Heard != 0 && quiet < 60*second) {
 			hush++
 		}
 		switch {
@@ -200,7 +207,8 @@
 	slices.SortFunc(silent, func(a, b *fleet.Machine) int { return cmp.Compare(a.Name, b.Name) })
 	few := hush <= max(1, heard/8)
 	for _, m := range silent {
-		if few || !m.Listed && m.Heard < s.listed-2*config.Secs(c.set.Cloud.ListLagS) || c.now-m.Heard > 8*report+6*second && heard >= 2*len(silent) {
+		last := max(m.Heard, c.lead.since)
+		if few || !m.Listed && last < s.listed-2*config.Secs(c.set.Cloud.ListLagS) || c.now-last > 8*report+6*second && heard >= 2*len(silent) {
 			c.log.Info("releasing a silent machine", "machine", m.Name, "tasks", len(m.Placed))
 			c.wantRelease(m.Name)
 		}
@@ -333,12 +341,15 @@
 			return
 		}
 		s.serial++
-		r := Rent{Name: fmt.Sprintf("zinclb-%d-%d", c.lead.token, s.serial), Type: mk.typ, Zone: mk.zone, Spot: mk.spot, Count: min(want, 10)}
+		r := Rent{Name: fmt.Sprintf("zinclb-%d-%d", c.lead.token, s.serial), Type: mk.typ, Zone: mk.zone, Spot: mk.spot, Count: min(want, rentMost)}
 		s.renting[mk] = true
 		c.emit(r)
 	}
 }
 
+// rentMost is how many machines the cloud rents out at one request.
+const rentMost = 50
+
 // peak is the most machines of a type in use of late.
 type peak struct {
 	busy int
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -37,6 +37,9 @@
 	Spot             bool
 	Part             int
 	Cap, Free        ledger.Vec
+	// Reach is how long it takes until orders can get to it: none while an
+	// answer to its worker waits for them.
+	Reach int64
 	// FetchRate is in MB a second, Images what it has or is fetching; the
 	// planner only reads it, and keeps what it adds itself in coming.
 	FetchRate int64
@@ -379,7 +382,7 @@
 // image fetch, breaking into an idle machine that a gang could have whole,
 // the wrong one of an ordinary and a spot machine, and lending.
 func (p *Planner) cost(j *Job, m *Machine, part int) int64 {
-	c := j.fetch(m)
+	c := j.fetch(m) + m.Reach
 	whole := m.Free == m.Cap
 	small := j.Need.Times(2).Fits(m.Cap)
 	if whole && small {
--- a/internal/core/suspect_test.go
+++ b/internal/core/suspect_test.go
@@ -44,3 +44,45 @@
 		})
 	}
 }
+
+// TestSilent: a few silent machines are released at once, as their tasks are
+// then certainly gone; many are not, as the way to them is more likely cut.
+// That must hold under a new leader too, which has heard none of them: in a
+// cut zone's take-over it once released every machine of the zone.
+func TestSilent(t *testing.T) {
+	cases := []struct {
+		name          string
+		silent, heard int
+		ever          bool // the silent ones have reported to this leader
+		releases      int
+	}{
+		{"one of twenty", 1, 19, true, 1},
+		{"a zone of three", 10, 20, true, 0},
+		{"one of twenty, never heard", 1, 19, false, 1},
+		{"a zone of three, never heard", 10, 20, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			r.now += 100 * second
+			r.c.now, r.c.lead.since = r.now, r.now
+			j := ledger.NewJob(&ledger.Spec{ID: "wide", Team: "t", Kind: ledger.Array, Tasks: tc.silent + tc.heard, Need: ledger.Vec{CPU: 1000}, Estimate: 900 * second})
+			r.place(j, false)
+			for i := range tc.silent {
+				if m := r.c.machine(fmt.Sprint("x", i)); !tc.ever {
+					m.Heard = 0
+				}
+			}
+			delete(r.c.lead.fleet, "m")
+			r.now += 12 * second
+			r.c.now = r.now
+			for i := range tc.heard {
+				r.c.machine(fmt.Sprint("x", tc.silent+i)).Heard = r.now
+			}
+			r.c.releaseTick(func() bool { return false })
+			if got := len(r.c.lead.cloud.release); got != tc.releases {
+				t.Errorf("%d released, want %d", got, tc.releases)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,10 @@
 	"github.com/zinclb/zinclb/internal/store"
 )
 
+// relayPatience is how long a relayed report may wait at the leader. Its worker
+// gives up after 4 s, and the leader parks an answer for up to 3 s.
+const relayPatience = 3700 * time.Millisecond
+
 // inboxSize bounds the messages that wait for the core.
 const inboxSize = 4096
 
@@ -54,7 +58,7 @@
 	set := core.Settings{Name: p.Name, Params: p.Params, Ops: ops, Boot: strconv.FormatUint(rand.Uint64(), 36)}
 	for _, m := range p.Peers {
 		set.Peers = append(set.Peers, m.Name)
-		n.peers[m.Name] = peer.NewClient(m.Addr)
+		n.peers[m.Name] = peer.NewClient(m.Addr, p.Params.Limits.Sockets)
 	}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	n.core = core.New(set, n.now(), rng, slog.Default())
@@ -134,7 +138,7 @@
 
 // RelayedBeat hands a peer's relayed report to the core.
 func (n *Node) RelayedBeat(from string, r core.Report) (core.Reply, error) {
-	return n.askWait(func(req uint64) any { return core.Beat{Req: req, Report: r, From: from} }, 3*time.Second)
+	return n.askWait(func(req uint64) any { return core.Beat{Req: req, Report: r, From: from} }, relayPatience)
 }
 
 // Pinged asks the core what to tell a peer.
@@ -232,7 +236,7 @@
 		case core.GetTypes:
 			go func() { n.tell(n.cloud.Types()) }()
 		case core.ListMachines:
-			go func() { n.tell(n.cloud.List()) }()
+			go func() { n.tell(n.cloud.List(time.Duration(e.Gap) * time.Microsecond)) }()
 		case core.Rent:
 			go func() { n.tell(n.cloud.Rent(e)) }()
 		case core.Release:
@@ -245,7 +249,7 @@
 	var r core.Reply
 	err := errors.New("the leader is no peer")
 	if p := n.peers[e.To]; p != nil {
-		err = p.Call("Beat", peer.BeatArgs{From: n.platform.Name, Report: e.Report}, &r, 3*time.Second)
+		err = p.Call("Beat", peer.BeatArgs{From: n.platform.Name, Report: e.Report}, &r, relayPatience)
 	}
 	n.tell(core.Relayed{Req: e.Req, Answer: r, Err: err})
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -101,19 +101,25 @@
 	}
 }
 
-// Client calls one peer. net/rpc has no deadlines of its own, so a call that
-// is late drops the connection, and with it whatever hangs there.
+// Client calls one peer. net/rpc has no deadlines of its own: a call that is
+// late is given up, and drops the connection if no other call has been
+// answered on it meanwhile. One late answer must not take the others along,
+// as hundreds of relayed reports wait on one connection.
 type Client struct {
 	addr string
 	mu   sync.Mutex
 	c    *rpc.Client
 	conn net.Conn
-	slot chan struct{}
+	// answered is when the connection last brought an answer.
+	answered time.Time
+	slot     chan struct{}
 }
 
-// NewClient makes a client for a peer's address.
-func NewClient(addr string) *Client {
-	return &Client{addr: addr, slot: make(chan struct{}, 64)}
+// NewClient makes a client for a peer's address that has at most calls under
+// way. A relayed report is one for as long as its answer is parked, so the
+// bound has to be as large as the machines that one controller serves.
+func NewClient(addr string, calls int) *Client {
+	return &Client{addr: addr, slot: make(chan struct{}, calls)}
 }
 
 var errLate = errors.New("peer did not answer in time")
@@ -129,10 +135,23 @@
 	if err != nil {
 		return nil, err
 	}
-	p.conn, p.c = conn, rpc.NewClient(conn)
+	p.conn, p.c, p.answered = conn, rpc.NewClient(conn), time.Now()
 	return p.c, nil
 }
 
+// alive notes an answer; quiet says that none has come since a time.
+func (p *Client) alive() {
+	p.mu.Lock()
+	p.answered = time.Now()
+	p.mu.Unlock()
+}
+
+func (p *Client) quiet(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answered.Before(since)
+}
+
 func (p *Client) drop(c *rpc.Client) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -154,20 +173,23 @@
 	if err != nil {
 		return err
 	}
+	begun := time.Now()
 	t := time.NewTimer(timeout)
 	defer t.Stop()
 	call := c.Go("Peer."+method, in, out, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
-		if call.Error != nil {
-			var se rpc.ServerError
-			if !errors.As(call.Error, &se) {
-				p.drop(c)
-			}
+		var se rpc.ServerError
+		if call.Error != nil && !errors.As(call.Error, &se) {
+			p.drop(c)
+		} else {
+			p.alive()
 		}
 		return call.Error
 	case <-t.C:
-		p.drop(c)
+		if p.quiet(begun) {
+			p.drop(c)
+		}
 		return errLate
 	}
 }
