Images by what caches keep, hints in as many values as the fleet needs

Cause: with some hundred machines the hints of a leader to the next did not fit one value and were left out, so that after a take-over no machine was known to have an image; and images that a cache must have dropped were still counted. Room made for urgent jobs behind a pivot now binds lower work only.

--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -27,9 +27,7 @@
 			// An earlier leader may go on answering it for the hold time.
 			m.Answered = c.now + c.hold()
 		}
-		for im := range c.lead.known[name] {
-			m.Images[im] = true
-		}
+		c.knownImages(m)
 		c.lead.fleet[name] = m
 	}
 	return m
@@ -302,9 +300,6 @@
 }
 
 func (c *Core) progress(m *fleet.Machine, j *ledger.Job, t *ledger.Task, state string) {
-	if j.Image != "" {
-		m.Images[j.Image] = true
-	}
 	p := ledger.Fetching
 	switch state {
 	case "waiting":
@@ -319,6 +314,7 @@
 		p = ledger.Saving
 	}
 	if p != t.Phase {
+		m.Use(j.Image, j.ImageMB, c.now)
 		j.SetPhase(t, p)
 		c.lead.planWanted = true
 	}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -28,10 +28,11 @@
 	boundsFlying  bool
 	// known are the images that the last leader knew of, inherited its
 	// sources; hints is what this one has written.
-	known     map[string]map[string]bool
+	known     map[string][]hintImage
 	inherited []*ledger.Spec
-	hints     []byte
+	hints     map[string][]byte
 	hintsAt   int64
+	hintsNext int
 	// stuck tells operators of queues that do not move.
 	stuck    []string
 	stuckAt  int64
@@ -51,7 +52,7 @@
 }
 
 func newLeaderState(now int64) leaderState {
-	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), parked: map[string]parked{}, ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string]map[string]bool{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}}
+	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), parked: map[string]parked{}, ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}}
 }
 
 // commitGap is the least time between transactions, to gather changes.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -348,7 +348,7 @@
 	token    tokenValue
 	tokenAt  uint64
 	watching bool
-	hints    []byte
+	hints    map[string][]byte
 
 	desk  desk
 	elect election
@@ -372,7 +372,7 @@
 // New makes a core. now is the steady clock.
 func New(set Settings, now int64, rng *rand.Rand, log *slog.Logger) *Core {
 	c := &Core{set: set, now: now, rng: rng, log: log, jobs: map[string]*ledger.Job{},
-		orphaned: map[string]map[int]Change{}, ends: map[string]ledger.End{},
+		orphaned: map[string]map[int]Change{}, ends: map[string]ledger.End{}, hints: map[string][]byte{},
 		peers: map[string]peerView{}, seen: map[string]redirect{},
 		commit: map[uint64]func(Committed){}, gets: map[uint64]func(Got){}}
 	c.list()
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -65,8 +65,9 @@
 	Hash uint32
 	// Orphans is what reported tasks without a placement still occupy.
 	Orphans ledger.Vec
-	// Images are the images that attempts here have fetched or are fetching.
-	Images map[string]bool
+	// Images are the images that attempts here have fetched or are fetching,
+	// as far as they can still be in its cache. Use adds to them.
+	Images map[string]Image
 	// Warm is a finished task that carries its image here, nil for none.
 	Warm *Warm
 	// IdleSince is when the last placement went, 0 while there are any.
@@ -78,11 +79,42 @@
 	BadJobs map[string]bool
 }
 
+// Image is an image in a machine's cache: its size, and when it was last used.
+type Image struct{ MB, Used int64 }
+
+// Use notes that the machine has, or fetches, an image for a task. Its cache
+// keeps the most recently used images.
+func (m *Machine) Use(image string, mb, now int64) {
+	if image == "" {
+		return
+	}
+	old, had := m.Images[image]
+	m.Images[image] = Image{max(mb, old.MB), now}
+	if had || m.CacheMB <= 0 {
+		return
+	}
+	for len(m.Images) > 1 {
+		var sum int64
+		oldest := ""
+		for n, im := range m.Images {
+			sum += im.MB
+			if n != image && (oldest == "" || im.Used < m.Images[oldest].Used || im.Used == m.Images[oldest].Used && n < oldest) {
+				oldest = n
+			}
+		}
+		if sum <= m.CacheMB {
+			return
+		}
+		delete(m.Images, oldest)
+	}
+}
+
 // Warm is a finished task that is started again for its image.
 type Warm struct {
 	Task    string
 	Attempt uint32
 	Image   string
+	ImageMB int64
 	Need    ledger.Vec
 	Team    string
 	Sent    bool
@@ -99,7 +131,7 @@
 
 // New makes a machine that nothing is known of but its name.
 func New(name string, now int64) *Machine {
-	return &Machine{Name: name, Hash: Hash(name), Placed: make(map[Ref]struct{}), Images: make(map[string]bool),
+	return &Machine{Name: name, Hash: Hash(name), Placed: make(map[Ref]struct{}), Images: make(map[string]Image),
 		BadJobs: make(map[string]bool), Answered: now, IdleSince: now}
 }
 
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -4,73 +4,88 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"strconv"
+	"strings"
 
+	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 )
 
 // hints is what a leader leaves to the next about images: which machine has
-// which, and finished jobs whose tasks can carry them. It is one value,
-// written seldom and with what the budget leaves; nothing depends on its
-// being right or there.
+// which, and finished jobs whose tasks can carry them. It is spread over as
+// many values as the fleet needs, each written in its turn and with what the
+// budget leaves; nothing depends on its being right or there.
 type hints struct {
-	Images   []string         `json:"i"`
-	Machines map[string][]int `json:"m"`
-	Sources  []*ledger.Spec   `json:"s"`
+	// Of is how many values there are in all.
+	Of     int         `json:"of"`
+	Images []hintImage `json:"i"`
+	// Machines has a bit for each of the images.
+	Machines map[string]uint64 `json:"m"`
+	Sources  []*ledger.Spec    `json:"s"`
 }
 
-const hintsEvery = 15 * second
+type hintImage struct {
+	Name string `json:"n"`
+	MB   int64  `json:"b"`
+}
+
+// A value of hints is written every hintsEvery; at most hintImages images are
+// told of, and a machine and a source are taken to need so many bytes.
+const (
+	hintsEvery   = 15 * second
+	hintImages   = 63
+	machineBytes = 45
+	sourceBytes  = 400
+)
 
 func (c *Core) hintsTick() {
 	l := c.lead
-	if c.now-l.hintsAt < hintsEvery || !c.sure() || c.budget.level < 4 {
+	images := c.hintImages()
+	room := int(c.set.State.ValueKB * 800)
+	of := 1 + (len(l.fleet)*machineBytes+len(images)*(2*sourceBytes+40))/room
+	if c.now-l.hintsAt < hintsEvery/int64(of) || !c.sure() || c.budget.level < 4 {
 		return
 	}
 	l.hintsAt = c.now
-	value := c.encodeHints()
-	if string(value) == string(l.hints) {
+	l.hintsNext = (l.hintsNext + 1) % of
+	key := hintsKey + "/" + strconv.Itoa(l.hintsNext)
+	value := c.encodeHints(images, l.hintsNext, of)
+	if string(value) == string(l.hints[key]) {
 		return
 	}
 	c.budget.level--
-	c.multi([]Cond{{leaderKey, l.stamp}}, []Write{{Key: hintsKey, Value: value}}, func(m Committed) {
+	c.multi([]Cond{{leaderKey, l.stamp}}, []Write{{Key: key, Value: value}}, func(m Committed) {
 		if c.lead == l && m.Status == 200 {
-			l.hints = value
+			l.hints[key] = value
 		}
 	})
 }
 
-// encodeHints leaves out what does not fit into one value.
-func (c *Core) encodeHints() []byte {
-	l := c.lead
-	h := hints{Machines: map[string][]int{}}
-	index := map[string]int{}
-	names := make([]string, 0, len(l.fleet))
-	for n := range l.fleet {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	for _, n := range names {
-		var images []string
-		for im := range l.fleet[n].Images {
-			images = append(images, im)
-		}
-		slices.Sort(images)
-		for _, im := range images {
-			if _, ok := index[im]; !ok {
-				index[im] = len(h.Images)
-				h.Images = append(h.Images, im)
-			}
-			h.Machines[n] = append(h.Machines[n], index[im])
-		}
-	}
-	images := make([]string, 0, len(l.warm.sources))
-	for im := range l.warm.sources {
+// hintImages are the images most asked for.
+func (c *Core) hintImages() []string {
+	w := &c.lead.warm
+	images := make([]string, 0, len(w.uses))
+	for im := range w.uses {
 		images = append(images, im)
 	}
 	slices.SortFunc(images, func(a, b string) int {
-		return cmp.Or(cmp.Compare(l.warm.uses[b].score, l.warm.uses[a].score), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(w.uses[b].score, w.uses[a].score), cmp.Compare(a, b))
 	})
-	limit := int(c.set.State.ValueKB * 1000)
-	for _, im := range images {
+	return images[:min(len(images), hintImages)]
+}
+
+// encodeHints makes value number part of so many, and leaves out what does
+// not fit all the same.
+func (c *Core) encodeHints(images []string, part, of int) []byte {
+	l := c.lead
+	h := hints{Of: of, Machines: map[string]uint64{}}
+	bit := map[string]int{}
+	for i, im := range images {
+		bit[im] = i
+		h.Images = append(h.Images, hintImage{Name: im})
+		if i%of != part {
+			continue
+		}
 		// Two jobs for an image: several machines can be warmed at once.
 		seen := map[string]bool{}
 		for _, s := range l.warm.sources[im] {
@@ -80,6 +95,18 @@
 			}
 		}
 	}
+	for n, m := range l.fleet {
+		if int(m.Hash%uint32(of)) != part {
+			continue
+		}
+		for im, has := range m.Images {
+			if i, ok := bit[im]; ok {
+				h.Machines[n] |= 1 << i
+				h.Images[i].MB = max(h.Images[i].MB, has.MB)
+			}
+		}
+	}
+	limit := int(c.set.State.ValueKB * 1000)
 	for {
 		b := encode(h)
 		switch {
@@ -90,7 +117,7 @@
 		case len(h.Machines) > 0:
 			h.Machines = nil
 		default:
-			return encode(hints{})
+			return encode(hints{Of: of})
 		}
 	}
 }
@@ -99,26 +126,27 @@
 // used only when any machine that the last leader was warming has come to
 // the end of its lease, as each task is to be on one machine at a time.
 func (c *Core) takeHints() {
-	var h hints
-	if c.hints == nil || json.Unmarshal(c.hints, &h) != nil {
-		return
-	}
-	for n, list := range h.Machines {
-		for _, i := range list {
-			if i >= 0 && i < len(h.Images) {
-				if c.lead.known[n] == nil {
-					c.lead.known[n] = map[string]bool{}
+	for key, value := range c.hints {
+		var h hints
+		part, err := strconv.Atoi(strings.TrimPrefix(key, hintsKey+"/"))
+		if err != nil || json.Unmarshal(value, &h) != nil || part >= h.Of {
+			continue
+		}
+		for n, bits := range h.Machines {
+			for i, im := range h.Images {
+				if bits&(1<<i) != 0 {
+					c.lead.known[n] = append(c.lead.known[n], im)
 				}
-				c.lead.known[n][h.Images[i]] = true
 			}
 		}
-	}
-	for _, s := range h.Sources {
-		if s != nil && s.Tasks > 0 {
-			c.noteUse(s)
-			c.lead.inherited = append(c.lead.inherited, s)
+		for _, s := range h.Sources {
+			if s != nil && s.Tasks > 0 {
+				c.noteUse(s)
+				c.lead.inherited = append(c.lead.inherited, s)
+			}
 		}
 	}
+	slices.SortFunc(c.lead.inherited, func(a, b *ledger.Spec) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // inherit puts the last leader's sources to use.
@@ -132,3 +160,10 @@
 	}
 	l.inherited = nil
 }
+
+// knownImages gives a machine the images that the last leader knew it has.
+func (c *Core) knownImages(m *fleet.Machine) {
+	for _, im := range c.lead.known[m.Name] {
+		m.Use(im.Name, im.MB, c.now)
+	}
+}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -134,8 +134,8 @@
 			return
 		}
 		c.types, c.typesAt = t, ch.Stamp
-	case key == "hints" && !ch.Removed:
-		c.hints = ch.Value
+	case strings.HasPrefix(key, "hints/") && !ch.Removed:
+		c.hints[ch.Key] = ch.Value
 	case key == "bounds" && !ch.Removed && c.lead == nil:
 		var b fleet.Bounds
 		if err := json.Unmarshal(ch.Value, &b); err != nil {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -125,7 +125,7 @@
 		}
 		m := byName[s.Machine.Name]
 		c.log.Debug("placed", "class", j.Class, "job", j.ID, "task", s.Index, "attempt", a, "machine", m.Name, "type", m.Type,
-			"spot", m.Spot, "image", m.Images[j.Image], "known_s", float64(c.now-j.Known)/1e6)
+			"spot", m.Spot, "image", m.Images[j.Image].Used != 0, "known_s", float64(c.now-j.Known)/1e6)
 		j.Place(s.Index, m.Name, a, c.now)
 		j.Task(s.Index).Trial = c.wantsTrial(j)
 		m.Put(fleet.Ref{Job: j, Index: s.Index})
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -5,8 +5,10 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
+	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 )
 
@@ -25,10 +27,12 @@
 	Guaranteed bool
 }
 
-// hold is a pivot's claim on a machine from a time on.
+// hold is a pivot's claim on a machine from a time on. It binds the jobs below
+// a priority.
 type hold struct {
-	at   int64
-	need ledger.Vec
+	at    int64
+	need  ledger.Vec
+	below int
 }
 
 // Machine is a machine that tasks may be placed on now.
@@ -43,7 +47,7 @@
 	// FetchRate is in MB a second, Images what it has or is fetching; the
 	// planner only reads it, and keeps what it adds itself in coming.
 	FetchRate int64
-	Images    map[string]bool
+	Images    map[string]fleet.Image
 	Runs      []Run
 	holds     []hold
 	coming    []string
@@ -51,7 +55,10 @@
 
 // has says whether the machine has an image or will have it.
 func (m *Machine) has(image string) bool {
-	return m.Images[image] || slices.Contains(m.coming, image)
+	if _, ok := m.Images[image]; ok {
+		return true
+	}
+	return slices.Contains(m.coming, image)
 }
 
 // Job is a job with tasks that wait.
@@ -126,8 +133,8 @@
 	// Budget bounds the tasks placed in a round, so that a large array can
 	// not keep reports waiting; the next round goes on.
 	Budget int
-	// Ahead is how many urgent jobs after a queue's pivot are held room for
-	// as the pivot is. Making room takes seconds, so that one at a time
+	// Ahead is for how many urgent jobs after a queue's pivot room is made as
+	// for the pivot, and held against lower work. Making room takes seconds, so that one at a time
 	// starves a large deployment's urgent jobs; a small one needs none.
 	Ahead int
 	// Patience is how far off a start may be before lower work is stopped.
@@ -212,7 +219,13 @@
 		if p.through(j) {
 			continue
 		}
-		when, ok := p.reserve(j)
+		// A pivot's hold binds everybody; what is held for the jobs behind it
+		// only keeps lower work from taking room that is being made.
+		below := math.MaxInt
+		if held[best] > 0 {
+			below = j.Priority
+		}
+		when, ok := p.reserve(j, below)
 		p.plan.Pivots = append(p.plan.Pivots, Pivot{Queue: best, Job: j, At: when})
 		if !ok {
 			// Nothing there is can take it, now or later: it waits for a
@@ -344,7 +357,7 @@
 			// Work without GPUs leaves machines with idle ones alone.
 			continue
 		}
-		if !p.harmless(m, j.Need, p.Now+j.lengthOn(m)) {
+		if !p.harmless(m, j, p.Now+j.lengthOn(m)) {
 			continue
 		}
 		if c := p.cost(j, m, part); best == nil || c < least {
@@ -409,13 +422,13 @@
 	return a * 1000 / b
 }
 
-// harmless says that taking need on m until end delays no pivot's hold.
-func (p *Planner) harmless(m *Machine, need ledger.Vec, end int64) bool {
+// harmless says that a task of j on m until end delays no hold.
+func (p *Planner) harmless(m *Machine, j *Job, end int64) bool {
 	for _, h := range m.holds {
-		if end <= h.at {
+		if end <= h.at || j.Priority >= h.below {
 			continue
 		}
-		if !h.need.Add(need).Fits(p.freeAt(m, h.at)) {
+		if !h.need.Add(j.Need).Fits(p.freeAt(m, h.at)) {
 			return false
 		}
 	}
@@ -458,7 +471,7 @@
 
 // reserve finds the earliest time at which a pivot can start (a gang whole,
 // of an array one task) and holds the room for it.
-func (p *Planner) reserve(j *Job) (at int64, ok bool) {
+func (p *Planner) reserve(j *Job, below int) (at int64, ok bool) {
 	n := 1
 	if j.Kind == ledger.Gang {
 		n = j.Unplaced() - j.planned
@@ -498,7 +511,7 @@
 		perZone[key] = append(perZone[key], o)
 		if len(perZone[key]) == n {
 			for _, o := range perZone[key] {
-				o.m.holds = append(o.m.holds, hold{at: o.at, need: j.Need})
+				o.m.holds = append(o.m.holds, hold{at: o.at, need: j.Need, below: below})
 				at = max(at, o.at)
 			}
 			return at, true
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 )
 
@@ -12,7 +13,7 @@
 
 // box is a machine of 8 CPUs in partition part; runs are (CPUs, end) pairs.
 func box(name string, part int, runs ...int64) *Machine {
-	m := &Machine{Name: name, Type: "t", Zone: "a", Part: part, Cap: ledger.Vec{CPU: 8000}, Free: ledger.Vec{CPU: 8000}, FetchRate: 1000, Images: map[string]bool{}}
+	m := &Machine{Name: name, Type: "t", Zone: "a", Part: part, Cap: ledger.Vec{CPU: 8000}, Free: ledger.Vec{CPU: 8000}, FetchRate: 1000, Images: map[string]fleet.Image{}}
 	for i := 0; i+1 < len(runs); i += 2 {
 		need := ledger.Vec{CPU: runs[i] * 1000}
 		m.Free = m.Free.Sub(need)
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -128,7 +128,7 @@
 		if s := c.pickSource(m, used); s != nil {
 			l.warm.serial++
 			s.on = m.Name
-			m.Warm = &fleet.Warm{Task: ledger.TaskName(s.spec.ID, s.index), Attempt: warmAttempt + l.warm.serial, Image: s.spec.Image, Need: s.spec.Need, Team: s.spec.Team}
+			m.Warm = &fleet.Warm{Task: ledger.TaskName(s.spec.ID, s.index), Attempt: warmAttempt + l.warm.serial, Image: s.spec.Image, ImageMB: s.spec.ImageMB, Need: s.spec.Need, Team: s.spec.Team}
 			u := used[s.spec.Team]
 			u.cpu += s.spec.Need.CPU
 			u.gpu += s.spec.Need.GPU
@@ -152,10 +152,8 @@
 func (c *Core) pickSource(m *fleet.Machine, used map[string]usage) *source {
 	w := &c.lead.warm
 	var held int64
-	for im := range m.Images {
-		if l := w.sources[im]; len(l) > 0 {
-			held += l[0].spec.ImageMB
-		}
+	for _, im := range m.Images {
+		held += im.MB
 	}
 	var best *source
 	var most float64
@@ -166,7 +164,7 @@
 	slices.Sort(images)
 	for _, im := range images {
 		u := w.uses[im]
-		if m.Images[im] || u.score <= most {
+		if _, ok := m.Images[im]; ok || u.score <= most {
 			continue
 		}
 		for _, s := range w.sources[im] {
@@ -210,7 +208,7 @@
 	switch {
 	case tr.State == "exited":
 		if tr.Why == "done" {
-			m.Images[m.Warm.Image] = true
+			m.Use(m.Warm.Image, m.Warm.ImageMB, c.now)
 			c.lead.planWanted = true
 		}
 		c.endWarm(m)
