Gangs' tasks carry images too, and images go where they are wanted

Only gangs of one task gave sources, twelve an image. Now finished gangs do as well, all of a one_zone gang's tasks in one zone at a time; sources grow with the fleet; images are spread by demand and by how many idle machines have them. A source is taken only when none of its job's tasks is on a machine any more.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -229,7 +229,6 @@
 		}
 		c.log.Info("job done", "job", j.ID, "tasks", j.Tasks)
 		c.noteEnd(j.ID, ledger.End{Outcome: ledger.Done, Tasks: j.Tasks})
-		c.addSources(j.Spec)
 	}
 	for i, n := range it.chunks {
 		j.Written(n, it.versions[i], stamp)
@@ -238,6 +237,9 @@
 		j.Chunk(n).Stamp = 0
 	}
 	if it.remove {
+		if j.Over == ledger.Done {
+			c.addSources(j.Spec) // none of its tasks is on a machine now
+		}
 		delete(c.jobs, j.ID)
 		c.dropJob(j)
 		return
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -146,7 +146,11 @@
 			}
 		}
 	}
-	slices.SortFunc(c.lead.inherited, func(a, b *ledger.Spec) int { return cmp.Compare(a.ID, b.ID) })
+	// A job may stand in two values, as they are written at different times.
+	// It must be one carrier all the same: two would start a task twice.
+	byID := func(a, b *ledger.Spec) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(c.lead.inherited, byID)
+	c.lead.inherited = slices.CompactFunc(c.lead.inherited, func(a, b *ledger.Spec) bool { return byID(a, b) == 0 })
 }
 
 // inherit puts the last leader's sources to use.
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -20,11 +20,36 @@
 
 // source is a finished task that can carry its image.
 type source struct {
+	job   *carrier
 	spec  *ledger.Spec
 	index int
 	on    string // the machine that it is on
 }
 
+// carrier is a finished job of which tasks carry images: how many are out, and
+// in which zone. Those of a job that sets one_zone stay in one, as its rule
+// holds for tasks that are started again as well.
+type carrier struct {
+	out  int
+	zone string
+}
+
+// mayGo says whether a source may go to a zone now.
+func (s *source) mayGo(zone string) bool {
+	return s.on == "" && (!s.spec.OneZone || s.job.out == 0 || s.job.zone == zone)
+}
+
+// send and back keep account of where a source is.
+func (s *source) send(m *fleet.Machine) {
+	s.on, s.job.zone = m.Name, m.Zone
+	s.job.out++
+}
+
+func (s *source) back() {
+	s.on = ""
+	s.job.out--
+}
+
 // imageUse is how much an image is asked for.
 type imageUse struct {
 	score float64
@@ -40,7 +65,7 @@
 
 // Bounds of what is remembered for warming.
 const (
-	maxSources   = 12
+	minSources   = 12
 	maxImages    = 200
 	warmHalfLife = 300 * second
 	warmAttempt  = 1 << 24 // above any attempt of a job's own
@@ -60,7 +85,7 @@
 	for ; c.now-u.at > warmHalfLife && u.score > 0.01; u.at += warmHalfLife {
 		u.score /= 2
 	}
-	u.score += float64(1 + 2*s.Priority)
+	u.score += float64(1+2*s.Priority) * c.machinesFor(s)
 	u.at = c.now
 	w.uses[s.Image] = u
 	if len(w.uses) > maxImages {
@@ -75,17 +100,33 @@
 	}
 }
 
-// addSources takes the tasks of a job that is done.
+// machinesFor is about how many machines a job takes, up to a few: an image
+// whose jobs are wide is wanted on more machines.
+func (c *Core) machinesFor(s *ledger.Spec) float64 {
+	const most = 16
+	n := float64(most)
+	for i := range c.types {
+		if t := &c.types[i]; s.Need.Fits(t.Cap) && (len(s.Types) == 0 || slices.Contains(s.Types, t.Name)) {
+			n = min(n, float64(s.Tasks)/float64(perMachine(s.Need, t.Cap)))
+		}
+	}
+	return max(n, 1)
+}
+
+// addSources takes the tasks of a job that is done, and of which no task is on
+// a machine any more. As many are kept as can be out at once in a large fleet.
 func (c *Core) addSources(s *ledger.Spec) {
-	if s.Image == "" || s.OneZone && s.Tasks > 1 || s.Spread || s.Kind == ledger.Gang && s.Tasks > 1 || s.Kind == ledger.Service {
+	if s.Image == "" || s.Spread || s.Kind == ledger.Service {
 		return
 	}
 	w := &c.lead.warm
 	list := w.sources[s.Image]
-	for i := range min(s.Tasks, maxSources/2) {
-		list = append(list, &source{spec: s, index: i})
+	most := minSources + len(c.lead.fleet)/16
+	job := &carrier{}
+	for i := range min(s.Tasks, most/2) {
+		list = append(list, &source{job: job, spec: s, index: i})
 	}
-	if n := len(list) - maxSources; n > 0 {
+	if n := len(list) - most; n > 0 {
 		list = slices.DeleteFunc(list, func(x *source) bool {
 			n--
 			return n >= 0 && x.on == ""
@@ -118,6 +159,7 @@
 	// Half of the idle machines stay quite idle, for jobs that come.
 	left := (free+1)/2 - warming
 	used := c.usage()
+	wants := c.imageWants(idle)
 	for _, m := range idle {
 		if left <= 0 {
 			return
@@ -125,9 +167,10 @@
 		if c.someoneWaitsFor(m) {
 			continue
 		}
-		if s := c.pickSource(m, used); s != nil {
+		if s := c.pickSource(m, used, wants); s != nil {
 			l.warm.serial++
-			s.on = m.Name
+			s.send(m)
+			wants.have(s.spec.Image)
 			m.Warm = &fleet.Warm{Task: ledger.TaskName(s.spec.ID, s.index), Attempt: warmAttempt + l.warm.serial, Image: s.spec.Image, ImageMB: s.spec.ImageMB, Need: s.spec.Need, Team: s.spec.Team}
 			u := used[s.spec.Team]
 			u.cpu += s.spec.Need.CPU
@@ -147,9 +190,47 @@
 	return false
 }
 
-// pickSource finds the image in most demand that a machine lacks, has room
-// for in its cache, and may get.
-func (c *Core) pickSource(m *fleet.Machine, used map[string]usage) *source {
+// imageWant is how much an image is wanted on one more idle machine.
+type imageWant struct {
+	image    string
+	score    float64
+	machines int // idle ones that have it
+}
+
+type imageWants []imageWant
+
+func (w imageWants) have(image string) {
+	for i := range w {
+		if w[i].image == image {
+			w[i].machines++
+		}
+	}
+}
+
+// imageWants counts which images that there are sources of the idle machines
+// have: each is to be on as many as its share of the demand.
+func (c *Core) imageWants(idle []*fleet.Machine) imageWants {
+	w := &c.lead.warm
+	var wants imageWants
+	for im, u := range w.uses {
+		if len(w.sources[im]) > 0 {
+			wants = append(wants, imageWant{image: im, score: u.score})
+		}
+	}
+	slices.SortFunc(wants, func(a, b imageWant) int { return cmp.Compare(a.image, b.image) })
+	for i := range wants {
+		for _, m := range idle {
+			if _, ok := m.Images[wants[i].image]; ok {
+				wants[i].machines++
+			}
+		}
+	}
+	return wants
+}
+
+// pickSource finds the image most wanted that a machine lacks, has room for
+// in its cache, and may get.
+func (c *Core) pickSource(m *fleet.Machine, used map[string]usage, wants imageWants) *source {
 	w := &c.lead.warm
 	var held int64
 	for _, im := range m.Images {
@@ -157,22 +238,17 @@
 	}
 	var best *source
 	var most float64
-	images := make([]string, 0, len(w.uses))
-	for im := range w.uses {
-		images = append(images, im)
-	}
-	slices.Sort(images)
-	for _, im := range images {
-		u := w.uses[im]
-		if _, ok := m.Images[im]; ok || u.score <= most {
+	for i := range wants {
+		im, score := wants[i].image, wants[i].score/float64(1+wants[i].machines)
+		if _, ok := m.Images[im]; ok || score <= most {
 			continue
 		}
 		for _, s := range w.sources[im] {
 			sp := s.spec
-			if s.on != "" || !sp.Allows(m.Type, m.Zone, m.Spot, m.Cap) || sp.Need.GPU == 0 && m.Cap.GPU > 0 || held+sp.ImageMB > m.CacheMB*8/10 || !c.withinLimit(sp.Team, used[sp.Team], sp.Need) {
+			if !s.mayGo(m.Zone) || !sp.Allows(m.Type, m.Zone, m.Spot, m.Cap) || sp.Need.GPU == 0 && m.Cap.GPU > 0 || held+sp.ImageMB > m.CacheMB*8/10 || !c.withinLimit(sp.Team, used[sp.Team], sp.Need) {
 				continue
 			}
-			best, most = s, u.score
+			best, most = s, score
 			break
 		}
 	}
@@ -195,7 +271,7 @@
 	}
 	for _, s := range c.lead.warm.sources[m.Warm.Image] {
 		if s.on == m.Name {
-			s.on = ""
+			s.back()
 		}
 	}
 	m.Warm = nil
@@ -207,6 +283,7 @@
 	o := Order{Op: "forget", Task: tr.Name, Attempt: uint32(tr.Attempt)}
 	switch {
 	case tr.State == "exited":
+		c.log.Debug("warmed", "machine", m.Name, "image", m.Warm.Image, "why", tr.Why)
 		if tr.Why == "done" {
 			m.Use(m.Warm.Image, m.Warm.ImageMB, c.now)
 			c.lead.planWanted = true
