Ends of tasks wait while writes are scarce

Each end made its chunk due, and starts waited in the same line. Starts and finished jobs are now written first; ends wait up to 4 s while the budget is short. Nothing depends on them: a worker keeps an exited task until it is told to forget it, and a new leader learns of it from there.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -65,6 +65,25 @@
 	c.lead.dirty[j] = struct{}{}
 }
 
+// endsWait is how long the ends of tasks may wait to be written while the
+// budget is short. Nothing waits for them: the worker keeps an exited task
+// until it is told to forget it, and a new leader learns of it from there.
+const endsWait = 4 * second
+
+// commitKey is what jobs are written in the order of.
+type commitKey struct {
+	late bool
+	at   int64
+}
+
+// canWait says that neither a start nor a user waits for a job's writes.
+func (c *Core) canWait(j *ledger.Job) bool {
+	if j.Over != "" {
+		return true // only its keys are left to be removed
+	}
+	return j.NumDone < j.Tasks && !j.AnyPlacing()
+}
+
 // item is one job's part of a transaction.
 type item struct {
 	job      *ledger.Job
@@ -92,9 +111,23 @@
 	for j := range l.dirty {
 		jobs = append(jobs, j)
 	}
+	order := make(map[*ledger.Job]commitKey, len(jobs))
+	for _, j := range jobs {
+		order[j] = commitKey{c.canWait(j), c.oldest(j)}
+	}
 	slices.SortFunc(jobs, func(a, b *ledger.Job) int {
-		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(c.oldest(a), c.oldest(b)), cmp.Compare(a.Arrival, b.Arrival))
+		x, y := order[a], order[b]
+		if x.late != y.late {
+			if y.late {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(x.at, y.at), cmp.Compare(a.Arrival, b.Arrival))
 	})
+	// While the budget is short, what can wait does so for a while, so that
+	// one write takes many tasks' ends.
+	scarce := c.budget.level < c.writeRate()/2
 	when := []Cond{{leaderKey, l.stamp}}
 	var writes []Write
 	var items []item
@@ -144,13 +177,18 @@
 				if len(writes) >= ops || size > maxTxnBytes {
 					break
 				}
+				if scarce && !j.Placing(n) && c.now-j.Chunk(n).Queued < endsWait {
+					continue
+				}
 				v, version := j.Take(n)
 				add(Write{Key: runKey(j.ID, n), Value: v}, Cond{runKey(j.ID, n), j.Chunk(n).Stamp})
 				it.chunks = append(it.chunks, n)
 				it.versions = append(it.versions, version)
 			}
 		}
-		items = append(items, it)
+		if len(it.chunks) > 0 || len(it.removed) > 0 || it.finish || it.remove {
+			items = append(items, it)
+		}
 	}
 	if len(writes) == 0 {
 		return
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -152,6 +152,8 @@
 	dirty   bool
 	version uint64
 	flying  bool
+	// placing: a placement waits to be stored, and with it a start.
+	placing bool
 	attempt uint32
 	Queued  int64 // when it became dirty
 }
@@ -244,6 +246,7 @@
 	t, c := &j.tasks[i], &j.chunks[i/ChunkTasks]
 	j.touch(c, now)
 	*t = Task{Machine: machine, Attempt: attempt, Since: now, version: c.version}
+	c.placing = true
 	c.attempt = max(c.attempt, attempt)
 	j.NumPlaced++
 }
@@ -320,6 +323,20 @@
 	return l
 }
 
+// Placing says whether a placement of chunk c waits to be written; otherwise
+// what waits is only that tasks have ended.
+func (j *Job) Placing(c int) bool { return j.chunks[c].placing }
+
+// AnyPlacing says the same of all chunks that wait to be written.
+func (j *Job) AnyPlacing() bool {
+	for i := range j.chunks {
+		if c := &j.chunks[i]; c.placing && c.dirty && !c.flying {
+			return true
+		}
+	}
+	return false
+}
+
 // Queued is when the oldest change that waits to be written was made, or 0.
 func (j *Job) Queued() int64 {
 	var at int64
@@ -334,7 +351,7 @@
 // Take encodes chunk c for a write that is about to be sent.
 func (j *Job) Take(c int) (value []byte, version uint64) {
 	ch := &j.chunks[c]
-	ch.dirty, ch.flying = false, true
+	ch.dirty, ch.flying, ch.placing = false, true, false
 	return j.encode(c), ch.version
 }
 
@@ -353,7 +370,7 @@
 // Unwritten notes that the write failed or that nobody knows: it has to be
 // written again, with the condition on the stamp that is known by then.
 func (j *Job) Unwritten(c int) {
-	j.chunks[c].flying, j.chunks[c].dirty = false, true
+	j.chunks[c].flying, j.chunks[c].dirty, j.chunks[c].placing = false, true, true
 }
 
 func (j *Job) span(c int) (lo, hi int) {
