Room made for a guaranteed job is held against those that it stops

A job within its guarantee stopped another team's gang, which was requeued and took the same machines again. What is held for an urgent job behind a pivot now binds also the work that it might stop.

--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"github.com/zinclb/zinclb/internal/core/fleet"
@@ -27,12 +26,20 @@
 	Guaranteed bool
 }
 
-// hold is a pivot's claim on a machine from a time on. It binds the jobs below
-// a priority.
+// hold is a claim on a machine from a time on, for a pivot or for one of the
+// urgent jobs behind it.
 type hold struct {
 	at    int64
 	need  ledger.Vec
-	below int
+	by    *Job
+	pivot bool
+}
+
+// binds says whether j must respect the hold. A pivot's binds everybody; one
+// of a job behind it only what that job might stop, which else took the room
+// that is being made for it, to be stopped there again and again.
+func (h *hold) binds(j *Job) bool {
+	return h.pivot || j.Priority < h.by.Priority || h.by.Guaranteed && !j.Guaranteed && h.by.Team != j.Team
 }
 
 // Machine is a machine that tasks may be placed on now.
@@ -219,13 +226,7 @@
 		if p.through(j) {
 			continue
 		}
-		// A pivot's hold binds everybody; what is held for the jobs behind it
-		// only keeps lower work from taking room that is being made.
-		below := math.MaxInt
-		if held[best] > 0 {
-			below = j.Priority
-		}
-		when, ok := p.reserve(j, below)
+		when, ok := p.reserve(j, held[best] == 0)
 		p.plan.Pivots = append(p.plan.Pivots, Pivot{Queue: best, Job: j, At: when})
 		if !ok {
 			// Nothing there is can take it, now or later: it waits for a
@@ -424,8 +425,9 @@
 
 // harmless says that a task of j on m until end delays no hold.
 func (p *Planner) harmless(m *Machine, j *Job, end int64) bool {
-	for _, h := range m.holds {
-		if end <= h.at || j.Priority >= h.below {
+	for i := range m.holds {
+		h := &m.holds[i]
+		if end <= h.at || !h.binds(j) {
 			continue
 		}
 		if !h.need.Add(j.Need).Fits(p.freeAt(m, h.at)) {
@@ -471,7 +473,7 @@
 
 // reserve finds the earliest time at which a pivot can start (a gang whole,
 // of an array one task) and holds the room for it.
-func (p *Planner) reserve(j *Job, below int) (at int64, ok bool) {
+func (p *Planner) reserve(j *Job, pivot bool) (at int64, ok bool) {
 	n := 1
 	if j.Kind == ledger.Gang {
 		n = j.Unplaced() - j.planned
@@ -511,7 +513,7 @@
 		perZone[key] = append(perZone[key], o)
 		if len(perZone[key]) == n {
 			for _, o := range perZone[key] {
-				o.m.holds = append(o.m.holds, hold{at: o.at, need: j.Need, below: below})
+				o.m.holds = append(o.m.holds, hold{at: o.at, need: j.Need, by: j, pivot: pivot})
 				at = max(at, o.at)
 			}
 			return at, true
