--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -283,7 +283,7 @@
 	if n > p.Budget && p.Budget < 1000 {
 		return
 	}
-	for _, zone := range p.zoneChoices(j) {
+	for _, zone := range p.zoneChoices(j, n) {
 		var got []*Machine
 		zones := map[string]int{}
 		for z, k := range j.ZoneOf {
@@ -313,22 +313,24 @@
 	}
 }
 
-// zoneChoices are the zones to try for a gang; nil stands for any.
-func (p *Planner) zoneChoices(j *Job) []*string {
+// zoneChoices are the zones to try for a gang of n more tasks; nil stands for
+// any. A gang starts with the last of its tasks, so a zone is as good as the
+// dearest machine that would be taken there.
+func (p *Planner) zoneChoices(j *Job, n int) []*string {
 	if !j.OneZone {
 		return []*string{nil}
 	}
-	cost := map[string]int64{}
+	costs := map[string][]int64{}
 	for _, m := range p.Machines {
 		if j.allows(m) && j.Need.Fits(m.Free) {
-			c := p.cost(j, m, -1)
-			if old, ok := cost[m.Zone]; !ok || c < old {
-				cost[m.Zone] = c
-			}
+			costs[m.Zone] = append(costs[m.Zone], p.cost(j, m, -1))
 		}
 	}
+	cost := map[string]int64{}
 	var zones []string
-	for z := range cost {
+	for z, l := range costs {
+		slices.Sort(l)
+		cost[z] = l[min(n, len(l))-1]
 		zones = append(zones, z)
 	}
 	slices.SortFunc(zones, func(a, b string) int {
