--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -124,7 +124,7 @@
 			attempts[j] = a
 		}
 		m := byName[s.Machine.Name]
-		c.log.Debug("placed", "class", j.Class, "job", j.ID, "task", s.Index, "attempt", a, "machine", m.Name, "type", m.Type,
+		c.log.Debug("placed", "class", j.Class, "team", j.Team, "guaranteed", s.Job.Guaranteed, "job", j.ID, "task", s.Index, "attempt", a, "machine", m.Name, "type", m.Type,
 			"spot", m.Spot, "image", m.Images[j.Image].Used != 0, "known_s", float64(c.now-j.Known)/1e6)
 		j.Place(s.Index, m.Name, a, c.now)
 		j.Task(s.Index).Trial = c.wantsTrial(j)
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -37,6 +37,7 @@
 		want     []string
 		pivots   string
 		stops    int
+		ahead    int
 	}{
 		{name: "a pivot starts in its own partition first", machines: []*Machine{box("m0", 0), box("m1", 1)},
 			jobs: []*Job{job("a", 1, 0, ledger.Array, 1, 2, 10)}, want: []string{"a@m1"}},
@@ -74,6 +75,21 @@
 			jobs: []*Job{within(job("in", 0, 0, ledger.Array, 1, 8, 10))}, pivots: "in:500", stops: 1},
 		{name: "but not a job that is itself within its team's", machines: []*Machine{guarded(box("m0", 0, 8, 500))},
 			jobs: []*Job{within(job("in", 0, 0, ledger.Array, 1, 8, 10))}, pivots: "in:500"},
+		{name: "in a large fleet lower work is stopped for urgent jobs behind the pivot too", ahead: 1,
+			machines: []*Machine{box("m0", 0, 8, 500), box("m1", 0, 8, 400), box("m2", 0, 8, 450)},
+			jobs:     []*Job{arrive(1, job("u1", 0, 2, ledger.Array, 1, 8, 10)), arrive(2, job("u2", 0, 2, ledger.Array, 1, 8, 10)), arrive(3, job("u3", 0, 2, ledger.Array, 1, 8, 10))},
+			pivots:   "u1:400u2:450", stops: 2},
+		{name: "but not for others", ahead: 1, machines: []*Machine{box("m0", 0, 8, 500), box("m1", 0, 8, 400)},
+			jobs:   []*Job{arrive(1, job("n1", 0, 1, ledger.Array, 1, 8, 10)), arrive(2, job("n2", 0, 1, ledger.Array, 1, 8, 10))},
+			pivots: "n1:400", stops: 1},
+		// u1 is the pivot, and u2 may stop what other's runs; m1 has half of
+		// its room free already, which other's next job must not take.
+		{name: "what is held behind the pivot binds what might be stopped there", ahead: 1, machines: []*Machine{box("m0", 0, 8, 40), box("m1", 0, 4, 50)},
+			jobs:   []*Job{arrive(1, job("u1", 0, 2, ledger.Array, 1, 8, 10)), within(arrive(2, job("u2", 0, 2, ledger.Array, 1, 8, 10))), other(arrive(3, job("u3", 0, 2, ledger.Array, 1, 4, 100)))},
+			pivots: "u1:40u2:50"},
+		{name: "and nobody else", ahead: 1, machines: []*Machine{box("m0", 0, 8, 40), box("m1", 0, 4, 50)},
+			jobs: []*Job{arrive(1, job("u1", 0, 2, ledger.Array, 1, 8, 10)), within(arrive(2, job("u2", 0, 2, ledger.Array, 1, 8, 10))), arrive(3, job("u3", 0, 2, ledger.Array, 1, 4, 100))},
+			want: []string{"u3@m1"}, pivots: "u1:40u2:50"},
 		{name: "equal work is not", machines: []*Machine{box("m0", 0, 8, 500)},
 			jobs: []*Job{job("eq", 0, 0, ledger.Array, 1, 8, 10)}, pivots: "eq:500"},
 	}
@@ -85,7 +101,7 @@
 					j.Room = shared
 				}
 			}
-			p := Planner{Queues: 3, Machines: tc.machines, Budget: 100, Patience: 60 * s, TeamOver: func(string, ledger.Vec) bool { return true }}
+			p := Planner{Queues: 3, Machines: tc.machines, Budget: 100, Patience: 60 * s, Ahead: tc.ahead, TeamOver: func(string, ledger.Vec) bool { return true }}
 			plan := p.Plan(tc.jobs)
 			var got []string
 			for _, st := range plan.Starts {
@@ -115,6 +131,7 @@
 func turn(n int64, j *Job) *Job          { j.Turn = n; return j }
 func late(j *Job) *Job                   { j.Late = true; return j }
 func oneZone(j *Job) *Job                { j.OneZone = true; return j }
+func other(j *Job) *Job                  { j.Team = "other"; return j }
 func spread(j *Job) *Job                 { j.Spread = true; return j }
 
 // BenchmarkPlan is a round with a full fleet and a large array.
--- /dev/null
+++ b/internal/core/warm_test.go
@@ -0,0 +1,109 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/core/fleet"
+	"github.com/zinclb/zinclb/internal/core/ledger"
+)
+
+// TestCarriers: the tasks of a finished gang that sets one_zone carry their
+// image in one zone at a time, as its rule holds for them as for any start.
+func TestCarriers(t *testing.T) {
+	cases := []struct {
+		name    string
+		kind    ledger.Kind
+		oneZone bool
+		spread  bool
+		want    string // for each of the zones in turn, with none coming back
+	}{
+		{"a gang of one zone", ledger.Gang, true, false, "a:true b:false a:true b:false "},
+		{"an array", ledger.Array, false, false, "a:true b:true a:true b:true "},
+		{"one that is to be scattered carries nothing", ledger.Array, false, true, ""},
+		{"nor does a service", ledger.Service, false, false, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			r.c.addSources(&ledger.Spec{ID: "g", Image: "im", Kind: tc.kind, Tasks: 4, OneZone: tc.oneZone, Spread: tc.spread})
+			got := ""
+			for i, s := range r.c.lead.warm.sources["im"] {
+				m := &fleet.Machine{Name: fmt.Sprint("m", i), Zone: string(rune('a' + i%2))}
+				may := s.mayGo(m.Zone)
+				got += fmt.Sprintf("%s:%v ", m.Zone, may)
+				if may {
+					s.send(m)
+					if s.mayGo(m.Zone) {
+						t.Error("one task on two machines")
+					}
+				}
+			}
+			if got != tc.want {
+				t.Errorf("got %q, want %q", got, tc.want)
+			}
+			for _, s := range r.c.lead.warm.sources["im"] {
+				if s.on != "" {
+					s.back()
+				}
+			}
+			for _, s := range r.c.lead.warm.sources["im"] {
+				if !s.mayGo("b") {
+					t.Error("all are back, and may go anywhere")
+				}
+			}
+		})
+	}
+}
+
+// TestHints: what one leader leaves to the next fits the state service's
+// values at any size, and a finished job is one carrier even if two values
+// tell of it, as two would start a task on two machines.
+func TestHints(t *testing.T) {
+	for _, machines := range []int{3, 400, 2000} {
+		t.Run(fmt.Sprint(machines), func(t *testing.T) {
+			r := newRig(t)
+			r.c.set.State.ValueKB = 8
+			for k := range 20 {
+				r.c.noteUse(&ledger.Spec{Image: fmt.Sprint("im-", k), Tasks: 1})
+			}
+			for i := range machines {
+				m := r.c.machine(fmt.Sprintf("host-%06d", i))
+				for k := range 20 {
+					if (i+k)%3 == 0 {
+						m.Use(fmt.Sprint("im-", k), 5000, 1)
+					}
+				}
+			}
+			for k := range 20 {
+				r.c.addSources(&ledger.Spec{ID: fmt.Sprint("job-", k), Image: fmt.Sprint("im-", k), Kind: ledger.Array, Tasks: 2})
+			}
+			images := r.c.hintImages()
+			of := 1 + machines*machineBytes/6000
+			next := newRig(t)
+			for part := range of {
+				v := r.c.encodeHints(images, part, of)
+				if len(v) > 8000 {
+					t.Fatalf("value of %d bytes", len(v))
+				}
+				next.c.hints[fmt.Sprint(hintsKey, "/", part)] = v
+			}
+			// A value that an earlier leader left beyond the last.
+			next.c.hints[fmt.Sprint(hintsKey, "/", of)] = next.c.hints[hintsKey+"/0"]
+			next.c.takeHints()
+			next.c.takeHints()
+			for i := range machines {
+				m := next.c.machine(fmt.Sprintf("host-%06d", i))
+				next.c.knownImages(m)
+				for k := range 20 {
+					if _, has := m.Images[fmt.Sprint("im-", k)]; has != ((i+k)%3 == 0) {
+						t.Fatalf("%s has im-%d: %v", m.Name, k, has)
+					}
+				}
+			}
+			if n := len(next.c.lead.inherited); n > 20 || machines < 1000 && n < 10 {
+				t.Errorf("%d jobs inherited", n)
+			}
+		})
+	}
+}
