Work within a guarantee goes before its equals; room made by stops is claimed

Now a guaranteed job goes before its equals, as it need not wait for other teams, and what is stopped for a job is claimed until it starts: nobody behind it gets that room. TestPlan has the cases.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -21,6 +21,7 @@
 	plannedAt  int64
 	pivots     []pivotView
 	waiting    []waitingJob
+	claims     []claim
 
 	boundsSeq     uint64
 	boundsWritten int64
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -105,7 +105,7 @@
 	jobs := c.schedJobs(used, guaranteed)
 	report := config.Secs(c.set.Workers.ReportS)
 	p := sched.Planner{Now: c.now, Queues: queues, Machines: machines, Budget: planTasks, Patience: 2*report + 3*second,
-		SpotFirst: c.spotFirst(), Ahead: len(machines) / machinesAhead,
+		SpotFirst: c.spotFirst(), Ahead: len(machines) / machinesAhead, Claims: c.claims(),
 		TeamOver: func(team string, need ledger.Vec) bool {
 			for i := range c.set.Teams {
 				if t := &c.set.Teams[i]; t.Name == team {
@@ -131,6 +131,10 @@
 		m.Put(fleet.Ref{Job: j, Index: s.Index})
 		m.IdleSince = 0
 		c.mark(j)
+		c.unclaim(j, m.Name)
+	}
+	for _, cl := range plan.Claims {
+		l.claims = append(l.claims, claim{cl, c.now + claimFor + 2*report})
 	}
 	for _, r := range plan.Stops {
 		c.log.Debug("stopping to make room", "job", r.Job.ID, "task", r.Index)
@@ -147,17 +151,47 @@
 	if len(plan.Starts) >= planTasks {
 		l.planWanted = true
 	}
-	c.endTrials(plan)
+	c.endTrials(plan, guaranteed)
 	if len(plan.Waiting) > 0 || len(plan.Pivots) > 0 {
 		c.log.Debug("round", "machines", len(machines), "starts", len(plan.Starts), "waiting", len(plan.Waiting), "pivots", len(plan.Pivots), "stops", len(plan.Stops))
 	}
 }
 
+// claim is kept until it is used, its job is over, or the room should long
+// have come free.
+type claim struct {
+	sched.Claim
+	until int64
+}
+
+// claimFor is how long it takes to stop work in order, beyond two reports.
+const claimFor = 10 * second
+
+func (c *Core) claims() []sched.Claim {
+	l := c.lead
+	l.claims = slices.DeleteFunc(l.claims, func(cl claim) bool {
+		return c.now > cl.until || cl.Job.Over != "" || cl.Job.Unplaced() == 0
+	})
+	out := make([]sched.Claim, len(l.claims))
+	for i := range l.claims {
+		out[i] = l.claims[i].Claim
+	}
+	return out
+}
+
+// unclaim ends a claim that has been used.
+func (c *Core) unclaim(j *ledger.Job, machine string) {
+	l := c.lead
+	if i := slices.IndexFunc(l.claims, func(cl claim) bool { return cl.Job == j && cl.Machine == machine }); i >= 0 {
+		l.claims = slices.Delete(l.claims, i, i+1)
+	}
+}
+
 // endTrials stops trials that are over while somebody waits for a machine
 // they are on who would come before the job when it is requeued. Otherwise
 // the job itself would be started again there at once, after a save and an
 // image fetch for nothing, so it goes on as if it had been.
-func (c *Core) endTrials(plan sched.Plan) {
+func (c *Core) endTrials(plan sched.Plan, guaranteed map[*ledger.Job]bool) {
 	if len(plan.Waiting) == 0 {
 		return
 	}
@@ -166,8 +200,9 @@
 			continue
 		}
 		due := false
+		requeued := &sched.Job{Job: j, Turn: c.turn(j), Guaranteed: guaranteed[j]}
 		j.EachPlaced(func(i int, t *ledger.Task) {
-			due = due || t.Trial && t.Stop == "" && t.Phase == ledger.Running && c.now-t.Since >= c.set.Ops.Trial && c.wanted(t.Machine, j, plan.Waiting)
+			due = due || t.Trial && t.Stop == "" && t.Phase == ledger.Running && c.now-t.Since >= c.set.Ops.Trial && c.wanted(t.Machine, requeued, plan.Waiting)
 		})
 		if !due {
 			continue
@@ -181,14 +216,13 @@
 	}
 }
 
-// wanted says whether a job that waits could use the machine that j is on, and
-// would go before j in the queue.
-func (c *Core) wanted(machine string, j *ledger.Job, waiting []*sched.Job) bool {
+// wanted says whether a job that waits could use a machine, and
+// would go before the requeued one.
+func (c *Core) wanted(machine string, requeued *sched.Job, waiting []*sched.Job) bool {
 	m := c.lead.fleet[machine]
 	if m == nil {
 		return false
 	}
-	requeued := &sched.Job{Job: j, Turn: c.turn(j)}
 	for _, w := range waiting {
 		if sched.Before(w, requeued) && w.Allows(m.Type, m.Zone, m.Spot, m.Cap) && (w.Need.GPU > 0 || m.Cap.GPU == 0) {
 			return true
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -26,20 +26,45 @@
 	Guaranteed bool
 }
 
-// hold is a claim on a machine from a time on, for a pivot or for one of the
-// urgent jobs behind it.
+// hold is what is kept of a machine for a job from a time on: for a pivot, for
+// one of the urgent jobs behind it, or because work was stopped there for it.
 type hold struct {
-	at    int64
-	need  ledger.Vec
-	by    *Job
-	pivot bool
+	at   int64
+	need ledger.Vec
+	by   *Job
+	kind holdKind
 }
 
-// binds says whether j must respect the hold. A pivot's binds everybody; one
-// of a job behind it only what that job might stop, which else took the room
-// that is being made for it, to be stopped there again and again.
+type holdKind uint8
+
+const (
+	pivotal holdKind = iota
+	behind
+	claimed
+)
+
+// binds says whether j must respect the hold. A pivot's binds everybody, a
+// claim all that come later; what is held for a job behind the pivot binds
+// what that job might stop.
 func (h *hold) binds(j *Job) bool {
-	return h.pivot || j.Priority < h.by.Priority || h.by.Guaranteed && !j.Guaranteed && h.by.Team != j.Team
+	switch {
+	case h.by.Job == j.Job:
+		return false
+	case h.kind == claimed:
+		return Before(h.by, j)
+	case h.kind == behind:
+		return j.Priority < h.by.Priority || h.by.Guaranteed && !j.Guaranteed && h.by.Team != j.Team
+	}
+	return true
+}
+
+// Claim says that work was, or is to be, stopped on a machine for one task of a
+// job. Until the job starts the room must go to nobody behind it: what was
+// stopped would else be back there in the next round, as a machine comes free
+// piece by piece, and be stopped again.
+type Claim struct {
+	Job     *ledger.Job
+	Machine string
 }
 
 // Machine is a machine that tasks may be placed on now.
@@ -128,6 +153,8 @@
 	Pivots []Pivot
 	// Stops are tasks to be stopped to make room.
 	Stops []Run
+	// Claims are on the machines of the stops.
+	Claims []Claim
 	// Waiting are jobs with tasks that found no place.
 	Waiting []*Job
 }
@@ -152,21 +179,29 @@
 	// TeamOver says whether stopping work of a team only takes it from
 	// beyond the team's guarantee.
 	TeamOver func(team string, need ledger.Vec) bool
-	plan     Plan
+	// Claims are those of earlier rounds.
+	Claims []Claim
+	plan   Plan
 }
 
-// order is figure 2's: high priority first, each by arrival; with the one
-// exception that a job with a deadline waits its turn by when it has to start
-// at the latest, and after its equals once its deadline is lost.
+// order is figure 2's: high priority first, each by arrival; with the
+// exceptions that a job within its team's guarantee goes before its equals, as
+// it is not to wait for other teams, and that a job with a deadline waits its
+// turn by when it has to start at the latest, and after its equals once its
+// deadline is lost.
 func order(a, b *Job) int {
-	late := 0
-	if a.Late != b.Late {
-		late = -1
-		if a.Late {
-			late = 1
-		}
+	return cmp.Or(cmp.Compare(b.Priority, a.Priority), last(!a.Guaranteed, !b.Guaranteed), last(a.Late, b.Late), cmp.Compare(a.Turn, b.Turn), cmp.Compare(a.Arrival, b.Arrival))
+}
+
+// last puts the one that is so after the one that is not.
+func last(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
 	}
-	return cmp.Or(cmp.Compare(b.Priority, a.Priority), late, cmp.Compare(a.Turn, b.Turn), cmp.Compare(a.Arrival, b.Arrival))
+	return -1
 }
 
 // Before says whether a goes before b where both wait.
@@ -179,6 +214,7 @@
 	for _, j := range jobs {
 		queues[j.Queue] = append(queues[j.Queue], j)
 	}
+	p.claims(jobs)
 	p.pivots(queues)
 	// Rules 7a and 7b: room of the own partition.
 	for _, q := range queues {
@@ -199,6 +235,26 @@
 	return p.plan
 }
 
+// claims holds what earlier rounds have claimed for jobs that still wait.
+func (p *Planner) claims(jobs []*Job) {
+	if len(p.Claims) == 0 {
+		return
+	}
+	byJob := make(map[*ledger.Job]*Job, len(jobs))
+	for _, j := range jobs {
+		byJob[j.Job] = j
+	}
+	byName := make(map[string]*Machine, len(p.Machines))
+	for _, m := range p.Machines {
+		byName[m.Name] = m
+	}
+	for _, c := range p.Claims {
+		if j, m := byJob[c.Job], byName[c.Machine]; j != nil && m != nil {
+			m.holds = append(m.holds, hold{at: p.Now, need: j.Need, by: j, kind: claimed})
+		}
+	}
+}
+
 // pivots starts heads of queues while they fit now, and holds room for the
 // first of each queue that does not. High pivots go first, so that a low one
 // is held only what no higher one claims.
@@ -226,7 +282,11 @@
 		if p.through(j) {
 			continue
 		}
-		when, ok := p.reserve(j, held[best] == 0)
+		kind := pivotal
+		if held[best] > 0 {
+			kind = behind
+		}
+		when, ok := p.reserve(j, kind)
 		p.plan.Pivots = append(p.plan.Pivots, Pivot{Queue: best, Job: j, At: when})
 		if !ok {
 			// Nothing there is can take it, now or later: it waits for a
@@ -475,7 +535,7 @@
 
 // reserve finds the earliest time at which a pivot can start (a gang whole,
 // of an array one task) and holds the room for it.
-func (p *Planner) reserve(j *Job, pivot bool) (at int64, ok bool) {
+func (p *Planner) reserve(j *Job, kind holdKind) (at int64, ok bool) {
 	n := 1
 	if j.Kind == ledger.Gang {
 		n = j.Unplaced() - j.planned
@@ -489,7 +549,7 @@
 		if !j.allows(m) || j.Need.GPU == 0 && m.Cap.GPU > 0 {
 			continue
 		}
-		for _, t := range p.times(m, j.Need, n) {
+		for _, t := range p.times(m, j, n) {
 			opts = append(opts, option{m, t})
 		}
 	}
@@ -515,7 +575,7 @@
 		perZone[key] = append(perZone[key], o)
 		if len(perZone[key]) == n {
 			for _, o := range perZone[key] {
-				o.m.holds = append(o.m.holds, hold{at: o.at, need: j.Need, by: j, pivot: pivot})
+				o.m.holds = append(o.m.holds, hold{at: o.at, need: j.Need, by: j, kind: kind})
 				at = max(at, o.at)
 			}
 			return at, true
@@ -525,11 +585,13 @@
 }
 
 // times lists when m has room for the first, second, ... of up to n tasks,
-// next to the holds it already has.
-func (p *Planner) times(m *Machine, need ledger.Vec, n int) []int64 {
-	free := m.Free
-	for _, h := range m.holds {
-		free = free.Sub(h.need)
+// next to the holds it already has for others.
+func (p *Planner) times(m *Machine, j *Job, n int) []int64 {
+	free, need := m.Free, j.Need
+	for i := range m.holds {
+		if m.holds[i].by.Job != j.Job {
+			free = free.Sub(m.holds[i].need)
+		}
 	}
 	var out []int64
 	take := func(t int64) {
@@ -603,6 +665,7 @@
 			}
 		}
 		for _, o := range best {
+			p.plan.Claims = append(p.plan.Claims, Claim{j.Job, o.m.Name})
 			for _, s := range o.stops {
 				p.plan.Stops = append(p.plan.Stops, s)
 				for i := range o.m.Runs {
