--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -233,6 +233,7 @@
 
 func (c *Core) schedMachines(guaranteed map[*ledger.Job]bool) ([]*sched.Machine, map[string]*fleet.Machine) {
 	var list []*sched.Machine
+	worth := c.imageWorth()
 	byName := map[string]*fleet.Machine{}
 	for _, m := range c.lead.fleet {
 		if !c.usable(m) {
@@ -240,6 +241,9 @@
 		}
 		sm := &sched.Machine{Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Part: c.bounds.PartOf(m.Hash),
 			Cap: m.Cap, Free: m.Free(), FetchRate: m.FetchRate, Images: m.Images, Reach: c.reach(m)}
+		for im := range m.Images {
+			sm.Worth += worth[im]
+		}
 		if len(m.Placed) > 0 {
 			sm.Runs = make([]sched.Run, 0, len(m.Placed)+1)
 		}
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -76,6 +76,8 @@
 	// Reach is how long it takes until orders can get to it: none while an
 	// answer to its worker waits for them.
 	Reach int64
+	// Worth is what its images are worth to jobs to come, as a delay.
+	Worth int64
 	// FetchRate is in MB a second, Images what it has or is fetching; the
 	// planner only reads it, and keeps what it adds itself in coming.
 	FetchRate int64
@@ -455,10 +457,10 @@
 func (j *Job) lengthOn(m *Machine) int64 { return j.Length + j.fetch(m) }
 
 // cost orders machines for a task, in microseconds of expected harm: the
-// image fetch, breaking into an idle machine that a gang could have whole,
+// image fetch, images that others will want, breaking into an idle machine that a gang could have whole,
 // the wrong one of an ordinary and a spot machine, and lending.
 func (p *Planner) cost(j *Job, m *Machine, part int) int64 {
-	c := j.fetch(m) + m.Reach
+	c := j.fetch(m) + m.Reach + m.Worth
 	whole := m.Free == m.Cap
 	small := j.Need.Times(2).Fits(m.Cap)
 	if whole && small {
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -113,6 +113,27 @@
 	return max(n, 1)
 }
 
+// allImages is what having every image that is asked for is worth: less than
+// a fetch, so that it only decides between machines that are as good.
+const allImages = 3 * second
+
+// imageWorth shares that out by demand. With few machines idle, those with the
+// images of urgent jobs would else be used up by jobs that have to fetch theirs
+// wherever they go.
+func (c *Core) imageWorth() map[string]int64 {
+	var all float64
+	for _, u := range c.lead.warm.uses {
+		all += u.score
+	}
+	worth := make(map[string]int64, len(c.lead.warm.uses))
+	for im, u := range c.lead.warm.uses {
+		if all > 0 {
+			worth[im] = int64(float64(allImages) * u.score / all)
+		}
+	}
+	return worth
+}
+
 // addSources takes the tasks of a job that is done, and of which no task is on
 // a machine any more. As many are kept as can be out at once in a large fleet.
 func (c *Core) addSources(s *ledger.Spec) {
