Room for a gang is made together with the machines that are free

A gang of four with three free machines in its zone needed four more with work to stop there, or waited. Found by reading.

--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -87,6 +87,12 @@
 	coming    []string
 }
 
+// claimedBefore says whether the machine is claimed for another job that j may
+// not take it from.
+func (m *Machine) claimedBefore(j *Job) bool {
+	return slices.ContainsFunc(m.holds, func(h hold) bool { return h.kind == claimed && h.binds(j) })
+}
+
 // has says whether the machine has an image or will have it.
 func (m *Machine) has(image string) bool {
 	if _, ok := m.Images[image]; ok {
@@ -617,8 +623,8 @@
 
 // preempt stops lower work for pivots that would wait longer than Patience:
 // work of lower priority for any, and for a job within its team's guarantee
-// what other teams run beyond theirs. It takes the machine where least work
-// is lost, one machine a pivot and round.
+// what other teams run beyond theirs. It takes the machines where least work
+// is lost, for a gang together with those that are free.
 func (p *Planner) preempt() {
 	for _, pv := range p.plan.Pivots {
 		j := pv.Job
@@ -639,15 +645,25 @@
 			if !j.allows(m) || !zoneFits(j, m.Zone, j.ZoneOf) || j.Need.GPU == 0 && m.Cap.GPU > 0 {
 				continue
 			}
-			if stops, lost, ok := p.victims(j, m); ok {
-				key := ""
-				if j.OneZone {
-					key = m.Zone
+			if m.claimedBefore(j) {
+				continue // what is stopped there is stopped for another
+			}
+			o := option{m: m}
+			if !j.Need.Fits(m.Free) {
+				ok := false
+				if o.stops, o.lost, ok = p.victims(j, m); !ok {
+					continue
 				}
-				// Room without the image is worth as much less.
-				lost += j.fetch(m) * max(j.Need.GPU, j.Need.CPU/8)
-				byZone[key] = append(byZone[key], option{m, stops, lost})
+			} else if !p.harmless(m, j, p.Now+j.lengthOn(m)) {
+				continue
 			}
+			key := ""
+			if j.OneZone {
+				key = m.Zone
+			}
+			// Room without the image is worth as much less.
+			o.lost += j.fetch(m) * max(j.Need.GPU, j.Need.CPU/8)
+			byZone[key] = append(byZone[key], o)
 		}
 		var best []option
 		var least int64
@@ -666,6 +682,9 @@
 				best, least = opts[:n], sum
 			}
 		}
+		if !slices.ContainsFunc(best, func(o option) bool { return len(o.stops) > 0 }) {
+			continue
+		}
 		for _, o := range best {
 			p.plan.Claims = append(p.plan.Claims, Claim{j.Job, o.m.Name})
 			for _, s := range o.stops {
