--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -352,9 +352,7 @@
 func (c *Core) schedJobs(used map[string]usage, guaranteed map[*ledger.Job]bool) []*sched.Job {
 	rooms := map[string]*sched.Room{}
 	var jobs []*sched.Job
-	unfinished := c.unfinished()
-	late := c.lateJobs(unfinished)
-	for _, j := range unfinished {
+	for _, j := range c.unfinished() {
 		if j.Unplaced() <= 0 || c.now < j.NotBefore {
 			continue
 		}
@@ -368,7 +366,7 @@
 		if j.Kind == ledger.Service {
 			sj.Length = forever
 		}
-		sj.Late, sj.Turn = late[j], c.turn(j)
+		sj.Late, sj.Turn = c.late(j), c.turn(j)
 		if j.OneZone || j.Spread {
 			sj.ZoneOf = c.zonesOf(j)
 			if sj.ZoneOf == nil {
@@ -413,6 +411,18 @@
 	return first
 }
 
+// late says that a job can hardly meet its deadline any more. It then lets
+// those that still can go first, until it has waited for many times its
+// deadline: with more work than machines, strict arrival order would make
+// every job late by the same backlog.
+func (c *Core) late(j *ledger.Job) bool {
+	if j.Deadline == 0 || j.Unplaced() == 0 {
+		return false
+	}
+	age := c.now - j.Known
+	return age+j.Estimate > j.Deadline && age < 8*j.Deadline
+}
+
 // room is what a team's limit leaves. All its jobs share it, so that one
 // round can't place for each of them what is there once.
 func (c *Core) room(rooms map[string]*sched.Room, used map[string]usage, team string) *sched.Room {
