--- a/internal/testbed/checker.go
+++ b/internal/testbed/checker.go
@@ -14,6 +14,7 @@
 	jobs   map[string]*seen
 	// on says on which machines a task is.
 	on    map[string]map[*worker]*ledger.Spec
+	use   map[string]ledger.Vec // by team
 	Ran   int
 	found map[string]bool
 }
@@ -30,7 +31,7 @@
 }
 
 func newChecker(c *Cluster) *Checker {
-	return &Checker{c: c, jobs: map[string]*seen{}, on: map[string]map[*worker]*ledger.Spec{}, found: map[string]bool{}}
+	return &Checker{c: c, jobs: map[string]*seen{}, on: map[string]map[*worker]*ledger.Spec{}, use: map[string]ledger.Vec{}, found: map[string]bool{}}
 }
 
 func (k *Checker) breach(rule, format string, a ...any) {
@@ -124,6 +125,9 @@
 	if k.on[name] == nil {
 		k.on[name] = map[*worker]*ledger.Spec{}
 	}
+	if k.on[name][w] == nil {
+		k.use[spec.Team] = k.use[spec.Team].Add(spec.Need)
+	}
 	k.on[name][w] = spec
 	k.place(w, name, spec)
 	k.quota(spec.Team)
@@ -135,9 +139,11 @@
 		bad = bad || s.Types[0] != w.typ.Name && (len(s.Types) < 2 || s.Types[1] != w.typ.Name)
 	}
 	zones := map[string]int{}
-	for i := range s.Tasks {
-		for o := range k.on[ledger.TaskName(s.ID, i)] {
-			zones[o.zone]++
+	if s.OneZone || s.Spread {
+		for i := range s.Tasks {
+			for o := range k.on[ledger.TaskName(s.ID, i)] {
+				zones[o.zone]++
+			}
 		}
 	}
 	if s.OneZone && len(zones) > 1 || s.Spread && zones[w.zone] > (s.Tasks+1)/2 {
@@ -149,14 +155,7 @@
 }
 
 func (k *Checker) quota(team string) {
-	var use ledger.Vec
-	for _, on := range k.on {
-		for _, s := range on {
-			if s.Team == team {
-				use = use.Add(s.Need)
-			}
-		}
-	}
+	use := k.use[team]
 	for i := range k.c.Settings.Teams {
 		t := &k.c.Settings.Teams[i]
 		if t.Name == team && (t.GPUsMax > 0 && float64(use.GPU) > t.GPUsMax*1000 || t.CPUsMax > 0 && float64(use.CPU) > t.CPUsMax*1000) {
@@ -165,7 +164,15 @@
 	}
 }
 
-func (k *Checker) left(w *worker, name string) { delete(k.on[name], w) }
+func (k *Checker) left(w *worker, name string) {
+	if s := k.on[name][w]; s != nil {
+		k.use[s.Team] = k.use[s.Team].Sub(s.Need)
+	}
+	delete(k.on[name], w)
+	if len(k.on[name]) == 0 {
+		delete(k.on, name)
+	}
+}
 
 // Finish checks what shows only at the end of a day.
 func (k *Checker) Finish() {
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -4,6 +4,7 @@
 package testbed
 
 import (
+	"container/heap"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -61,7 +62,7 @@
 	Day
 	now    int64
 	seq    int
-	events []event
+	events events
 	rng    *rand.Rand
 
 	state *State
@@ -122,8 +123,7 @@
 		c.fault(f)
 	}
 	for len(c.events) > 0 && c.events[0].at <= d.Length {
-		e := c.events[0]
-		c.events = c.events[1:]
+		e := heap.Pop(&c.events).(event)
 		c.now = max(c.now, e.at)
 		e.f()
 	}
@@ -133,14 +133,30 @@
 // at schedules f; events of one moment run in the order they were made.
 func (c *Cluster) at(t int64, f func()) {
 	c.seq++
-	e := event{max(t, c.now), c.seq, f}
-	i, _ := slices.BinarySearchFunc(c.events, e, func(a, b event) int {
-		if a.at != b.at {
-			return int(min(max(a.at-b.at, -1), 1))
-		}
-		return a.seq - b.seq
-	})
-	c.events = slices.Insert(c.events, i, e)
+	heap.Push(&c.events, event{max(t, c.now), c.seq, f})
+}
+
+// events is a heap: a large day has thousands waiting.
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push is heap.Interface's.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop is heap.Interface's.
+func (e *events) Pop() any {
+	l := *e
+	x := l[len(l)-1]
+	l[len(l)-1] = event{}
+	*e = l[:len(l)-1]
+	return x
 }
 
 func (c *Cluster) after(d int64, f func()) { c.at(c.now+d, f) }
--- a/internal/testbed/day_test.go
+++ b/internal/testbed/day_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -61,6 +62,30 @@
 	}
 }
 
+// TestHugeArray plays the largest job there may be to its end, through a crash
+// of all controllers halfway, within the memory of a small controller.
+func TestHugeArray(t *testing.T) {
+	d := small(78)
+	d.Settings.Teams[0].GPUsMax = 0
+	d.Machines, d.Length = 40, 900*second
+	spec := ledger.Spec{ID: "huge", Team: "red", Kind: ledger.Array, Tasks: ledger.MaxTasks, Need: ledger.Vec{CPU: 100, GPU: 10, Mem: 10}, Estimate: 2 * second}
+	d.Jobs = []Job{{At: second, Run: 2 * second, Spec: spec}}
+	d.Faults = []Fault{{At: 100 * second, Kind: "crash", Who: -1}}
+	c := Play(d)
+	c.Check.Finish()
+	if len(c.Check.Broken) > 0 || len(c.Unfinished()) > 0 {
+		t.Error(c.String())
+	}
+	// The most that the heap has held: three controllers, the state service
+	// and all workers at once, within what one of the smallest may have.
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	t.Logf("heap of %d MB at most", m.HeapSys>>20)
+	if m.HeapSys > 125<<20 {
+		t.Errorf("heap of %d MB at most", m.HeapSys>>20)
+	}
+}
+
 // TestDays plays whole days with faults: every rule holds, and everything
 // that was accepted comes to its end.
 func TestDays(t *testing.T) {
