--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -208,7 +208,7 @@
 	few := hush <= max(1, heard/8)
 	for _, m := range silent {
 		last := max(m.Heard, c.lead.since)
-		if few || !m.Listed && last < s.listed-2*config.Secs(c.set.Cloud.ListLagS) || c.now-last > 8*report+6*second && heard >= 2*len(silent) {
+		if few || !m.Listed && last < s.listed-2*config.Secs(c.set.Cloud.ListLagS) {
 			c.log.Info("releasing a silent machine", "machine", m.Name, "tasks", len(m.Placed))
 			c.wantRelease(m.Name)
 		}
--- a/internal/core/suspect_test.go
+++ b/internal/core/suspect_test.go
@@ -55,11 +55,15 @@
 		silent, heard int
 		ever          bool // the silent ones have reported to this leader
 		releases      int
+		after         int64 // since the silence began, in seconds
 	}{
-		{"one of twenty", 1, 19, true, 1},
-		{"a zone of three", 10, 20, true, 0},
-		{"one of twenty, never heard", 1, 19, false, 1},
-		{"a zone of three, never heard", 10, 20, false, 0},
+		{"one of twenty", 1, 19, true, 1, 12},
+		{"a zone of three", 10, 20, true, 0, 12},
+		{"one of twenty, never heard", 1, 19, false, 1, 12},
+		{"a zone of three, never heard", 10, 20, false, 0, 12},
+		// The leases of what a new leader has not heard run out last.
+		{"a zone of three, for long", 10, 40, true, 0, 24},
+		{"a zone of three, never heard, for long", 10, 40, false, 0, 24},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -74,7 +78,7 @@
 				}
 			}
 			delete(r.c.lead.fleet, "m")
-			r.now += 12 * second
+			r.now += tc.after * second
 			r.c.now = r.now
 			for i := range tc.heard {
 				r.c.machine(fmt.Sprint("x", tc.silent+i)).Heard = r.now
