--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -203,9 +203,11 @@
 	}
 	// When many machines are silent the fault is more likely on the way to
 	// them, and releasing them would end good work. So only a few are taken
-	// for dead at once, unless the cloud does not list them any more.
+	// for dead at once, unless the cloud does not list them any more. An
+	// eighth of a large fleet is not few: machines die one by one, and what
+	// goes silent together is behind a cut.
 	slices.SortFunc(silent, func(a, b *fleet.Machine) int { return cmp.Compare(a.Name, b.Name) })
-	few := hush <= max(1, heard/8)
+	few := hush <= max(1, min(heard/8, 6+heard/64))
 	for _, m := range silent {
 		last := max(m.Heard, c.lead.since)
 		if few || !m.Listed && last < s.listed-2*config.Secs(c.set.Cloud.ListLagS) {
--- a/internal/core/suspect_test.go
+++ b/internal/core/suspect_test.go
@@ -61,6 +61,8 @@
 		{"a zone of three", 10, 20, true, 0, 12},
 		{"one of twenty, never heard", 1, 19, false, 1, 12},
 		{"a zone of three, never heard", 10, 20, false, 0, 12},
+		{"a tenth of a large fleet", 30, 300, true, 0, 12},
+		{"some of a large fleet", 10, 300, true, 10, 12},
 		// The leases of what a new leader has not heard run out last.
 		{"a zone of three, for long", 10, 40, true, 0, 24},
 		{"a zone of three, never heard, for long", 10, 40, false, 0, 24},
