--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -207,10 +207,12 @@
 	// eighth of a large fleet is not few: machines die one by one, and what
 	// goes silent together is behind a cut.
 	slices.SortFunc(silent, func(a, b *fleet.Machine) int { return cmp.Compare(a.Name, b.Name) })
-	few := hush <= max(1, min(heard/8, 6+heard/64))
+	// Nor does a leader judge that the state service has not proved of late: it
+	// may be the one that is cut off, and what it asks for may be done later.
+	few := c.sure() && hush <= max(1, min(heard/8, 6+heard/64))
 	for _, m := range silent {
 		last := max(m.Heard, c.lead.since)
-		if few || !m.Listed && last < s.listed-2*config.Secs(c.set.Cloud.ListLagS) {
+		if few || c.sure() && !m.Listed && last < s.listed-2*config.Secs(c.set.Cloud.ListLagS) {
 			c.log.Info("releasing a silent machine", "machine", m.Name, "tasks", len(m.Placed))
 			c.wantRelease(m.Name)
 		}
--- a/internal/core/suspect_test.go
+++ b/internal/core/suspect_test.go
@@ -56,16 +56,18 @@
 		ever          bool // the silent ones have reported to this leader
 		releases      int
 		after         int64 // since the silence began, in seconds
+		unproved      bool  // the state service has not proved the token of late
 	}{
-		{"one of twenty", 1, 19, true, 1, 12},
-		{"a zone of three", 10, 20, true, 0, 12},
-		{"one of twenty, never heard", 1, 19, false, 1, 12},
-		{"a zone of three, never heard", 10, 20, false, 0, 12},
-		{"a tenth of a large fleet", 30, 300, true, 0, 12},
-		{"some of a large fleet", 10, 300, true, 10, 12},
+		{"one of twenty", 1, 19, true, 1, 12, false},
+		{"a zone of three", 10, 20, true, 0, 12, false},
+		{"one of twenty, never heard", 1, 19, false, 1, 12, false},
+		{"a zone of three, never heard", 10, 20, false, 0, 12, false},
+		{"a tenth of a large fleet", 30, 300, true, 0, 12, false},
+		{"some of a large fleet", 10, 300, true, 10, 12, false},
+		{"one of twenty, to a leader that may be cut off itself", 1, 19, true, 0, 12, true},
 		// The leases of what a new leader has not heard run out last.
-		{"a zone of three, for long", 10, 40, true, 0, 24},
-		{"a zone of three, never heard, for long", 10, 40, false, 0, 24},
+		{"a zone of three, for long", 10, 40, true, 0, 24, false},
+		{"a zone of three, never heard, for long", 10, 40, false, 0, 24, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -85,6 +87,10 @@
 			for i := range tc.heard {
 				r.c.machine(fmt.Sprint("x", tc.silent+i)).Heard = r.now
 			}
+			r.c.lead.stored = r.now
+			if tc.unproved {
+				r.c.lead.stored = r.now - 10*second
+			}
 			r.c.releaseTick(func() bool { return false })
 			if got := len(r.c.lead.cloud.release); got != tc.releases {
 				t.Errorf("%d released, want %d", got, tc.releases)
