--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -177,8 +177,8 @@
 		idle = append(idle, m)
 	}
 	slices.SortFunc(idle, func(a, b *fleet.Machine) int { return cmp.Compare(a.Name, b.Name) })
-	// Some of the idle machines stay quite idle, for jobs that come.
-	left := (free*7+7)/8 - warming
+	// Half of the idle machines stay quite idle, for jobs that come.
+	left := (free+1)/2 - warming
 	used := c.usage()
 	wants := c.imageWants(idle)
 	for _, m := range idle {
