--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -218,13 +218,19 @@
 		}
 	}
 	for name, b := range s.booting {
+		if m := c.lead.fleet[name]; m != nil && m.Heard != 0 {
+			// It has come up since the last list, as a whole zone does when
+			// a cut that a leader began in is over.
+			delete(s.booting, name)
+			continue
+		}
 		// After a take-over machines that are up have yet to report here,
 		// and the list may lag: neither is a sign that one never came up.
-		limit := c.bootLimit(b.typ)
+		limit, known := c.bootLimit(b.typ), c.bootLimit(b.typ)/2
 		if b.up {
-			limit = max(limit, 120*second)
+			limit, known = max(limit, 120*second), max(known, 120*second)
 		}
-		if c.now-b.since > limit && c.now-c.lead.since > limit/2 {
+		if c.now-b.since > limit && c.now-c.lead.since > known {
 			c.log.Info("releasing a machine that does not come up", "machine", name)
 			delete(s.booting, name)
 			c.wantRelease(name)
--- a/internal/core/suspect_test.go
+++ b/internal/core/suspect_test.go
@@ -98,3 +98,38 @@
 		})
 	}
 }
+
+// TestNeverUp: a machine that never comes up is given up. One that a leader has
+// found listed as running, and that has reported since, is not, however old it
+// is: after a cut in which a leader began that would be a whole zone.
+func TestNeverUp(t *testing.T) {
+	cases := []struct {
+		name       string
+		up, heard  bool
+		led, since int64 // seconds
+		released   bool
+	}{
+		{"booting for long", false, false, 500, 400, true},
+		{"booting", false, false, 500, 30, false},
+		{"listed as running, not yet heard by a new leader", true, false, 100, 4000, false},
+		{"nor for long", true, false, 200, 4000, true},
+		{"heard since the list", true, true, 200, 4000, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			r.now += 5000 * second
+			r.c.now, r.c.lead.since, r.c.lead.stored = r.now, r.now-tc.led*second, r.now
+			r.c.types[0].Boot = 30 * second
+			r.c.lead.cloud.booting["b"] = booting{market: market{typ: "c"}, since: r.now - tc.since*second, up: tc.up}
+			if tc.heard {
+				r.c.machine("b").Heard = r.now
+			}
+			delete(r.c.lead.fleet, "m")
+			r.c.releaseTick(func() bool { return false })
+			if got := len(r.c.lead.cloud.release) == 1; got != tc.released {
+				t.Errorf("released: %v", got)
+			}
+		})
+	}
+}
