--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -24,7 +24,6 @@
 	req   uint64
 	jobs  int
 	late  []any
-	gpu   bool
 	// started counts tasks that came to run, writes the changes stored.
 	started, done, writes int
 }
@@ -47,8 +46,8 @@
 	runs, ready int64
 }
 
-func newCrowd(machines int, gpu bool) *crowd {
-	w := &crowd{now: second, rev: 10, rng: rand.New(rand.NewPCG(3, 4)), wait: map[uint64]*hand{}, gpu: gpu}
+func newCrowd(machines int) *crowd {
+	w := &crowd{now: second, rev: 10, rng: rand.New(rand.NewPCG(3, 4)), wait: map[uint64]*hand{}}
 	w.set = Settings{Name: "n0", Boot: "b", Ops: config.Defaults()}
 	w.set.Size, w.set.Zones = 1, []string{"a", "b", "c"}
 	w.set.Teams = []config.Team{{Name: "red", GPUs: 4000, GPUsMax: 15000}, {Name: "blue", GPUs: 2500, GPUsMax: 6000}}
@@ -206,7 +205,7 @@
 func BenchmarkCrowd(b *testing.B) {
 	for _, n := range []int{50, 400, 1600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			w := newCrowd(n, true)
+			w := newCrowd(n)
 			w.play(90, float64(n)/350)
 			w.started, w.writes = 0, 0
 			b.ResetTimer()
@@ -219,3 +218,41 @@
 		})
 	}
 }
+
+// BenchmarkTakeOver is the cost of beginning to lead: reading the stored
+// state, taking the placements over, and the first report of every machine.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, n := range []int{50, 400, 1600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var rows []Change
+			add := func(key string, value []byte) {
+				rows = append(rows, Change{Key: key, Value: value, Stamp: uint64(len(rows) + 1)})
+			}
+			add(tokenKey, encode(tokenValue{5}))
+			w := newCrowd(n)
+			add(typesKey, encode(w.c.types))
+			for k := range n / 25 {
+				s := &ledger.Spec{ID: fmt.Sprint("job-", k), Team: "red", Kind: ledger.Array, Tasks: 100, Need: ledger.Vec{CPU: 5000, GPU: 1000, Mem: 27000}, Estimate: 30 * second}
+				j := ledger.NewJob(s)
+				for i := range s.Tasks {
+					j.Place(i, w.hands[(k*25+i/4)%n].name, 1, 1)
+				}
+				v, _ := j.Take(0)
+				add(jobPrefix+s.ID, encode(ledger.Record{Spec: s}))
+				add(runKey(s.ID, 0), v)
+			}
+			for b.Loop() {
+				next := &crowd{now: second, rev: uint64(len(rows) + 1), rng: w.rng, wait: map[uint64]*hand{}, hands: w.hands}
+				for _, h := range next.hands {
+					h.busy, h.due, h.token = false, second, 0
+				}
+				next.c = New(w.set, next.now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
+				next.step(Listed{Ledger: next.rev, Rows: rows})
+				for next.c.lead == nil {
+					next.tick()
+				}
+				next.play(2, 0)
+			}
+		})
+	}
+}
