--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -104,9 +104,7 @@
 	machines, byName := c.schedMachines(guaranteed)
 	jobs := c.schedJobs(used, guaranteed)
 	report := config.Secs(c.set.Workers.ReportS)
-	// Stops go to machines directly, so what is waited for is the estimates'
-	// error and not the reports, however far these are apart.
-	p := sched.Planner{Now: c.now, Queues: queues, Machines: machines, Budget: planTasks, Patience: min(2*report, 6*second) + 3*second,
+	p := sched.Planner{Now: c.now, Queues: queues, Machines: machines, Budget: planTasks, Patience: 2*report + 3*second,
 		SpotFirst: c.spotFirst(), Ahead: len(machines) / machinesAhead, Claims: c.claims(),
 		TeamOver: func(team string, need ledger.Vec) bool {
 			for i := range c.set.Teams {
