Direct orders: as many at once as several large gangs have tasks

Sixteen at a time were sent, so that an orderly stop of a gang of 16 beside any other order left some of its tasks to their next report, up to 10 s later, where gang_peer_s is 8 s: the save fails and the work since the last one is lost. Found by reading, looking for fixed caps chosen for the small sites.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,7 +54,7 @@
 func New(p *config.Platform, ops config.Operators) *Node {
 	n := &Node{platform: p, inbox: make(chan envelope, inboxSize), start: time.Now(), replies: map[uint64]func(core.Reply){},
 		state: store.New(p.Outside.State, 24), watches: store.New(p.Outside.State, 2), cloud: cloud.New(p.Outside.Cloud),
-		peers: map[string]*peer.Client{}, workers: newWorkerPool()}
+		peers: map[string]*peer.Client{}, workers: newWorkerPool(max(16, p.Params.Limits.Sockets/16))}
 	set := core.Settings{Name: p.Name, Params: p.Params, Ops: ops, Boot: strconv.FormatUint(rand.Uint64(), 36)}
 	for _, m := range p.Peers {
 		set.Peers = append(set.Peers, m.Name)
@@ -299,10 +299,12 @@
 }
 
 // workerPool sends orders to workers' own addresses, a bounded number at a
-// time; what does not fit travels with the next report anyway.
+// time; what does not fit travels with the next report anyway. That can be too
+// late for a gang's orderly stop, of which all tasks must be told within
+// gang_peer_s: the bound has to take several large gangs at once.
 type workerPool struct{ slots chan struct{} }
 
-func newWorkerPool() *workerPool { return &workerPool{make(chan struct{}, 16)} }
+func newWorkerPool(orders int) *workerPool { return &workerPool{make(chan struct{}, orders)} }
 
 func (w *workerPool) send(d core.Direct) {
 	select {
