One predicate for chunks that wait, one table of arrays, hints sorted when written

Found in a last reading: three loops asked each for themselves whether a chunk waits to be written; the images were sorted for hints at every tick, twenty times a second, to write one value in 15 s; the order of writes compared truth values by hand; two tests of arrays were the same but for their sizes. Behaviour is meant to be the same, and the tests assert what they did.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -73,16 +73,17 @@
 
 // commitKey is what jobs are written in the order of.
 type commitKey struct {
-	late bool
+	rank int
 	at   int64
 }
 
-// canWait says that neither a start nor a user waits for a job's writes.
-func (c *Core) canWait(j *ledger.Job) bool {
-	if j.Over != "" {
-		return true // only its keys are left to be removed
+// commitRank is 0 where a start or a user waits for a job's writes, and else 1.
+func commitRank(j *ledger.Job) int {
+	// Of one that is over only keys are left to be removed.
+	if j.Over == "" && (j.NumDone == j.Tasks || j.AnyPlacing()) {
+		return 0
 	}
-	return j.NumDone < j.Tasks && !j.AnyPlacing()
+	return 1
 }
 
 // item is one job's part of a transaction.
@@ -114,17 +115,11 @@
 	}
 	order := make(map[*ledger.Job]commitKey, len(jobs))
 	for _, j := range jobs {
-		order[j] = commitKey{c.canWait(j), c.oldest(j)}
+		order[j] = commitKey{commitRank(j), c.oldest(j)}
 	}
 	slices.SortFunc(jobs, func(a, b *ledger.Job) int {
 		x, y := order[a], order[b]
-		if x.late != y.late {
-			if y.late {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(x.at, y.at), cmp.Compare(a.Arrival, b.Arrival))
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(b.Priority, a.Priority), cmp.Compare(x.at, y.at), cmp.Compare(a.Arrival, b.Arrival))
 	})
 	// While the budget is short, what can wait does so for a while, so that
 	// one write takes many tasks' ends.
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -40,16 +40,15 @@
 
 func (c *Core) hintsTick() {
 	l := c.lead
-	images := c.hintImages()
 	room := int(c.set.State.ValueKB * 800)
-	of := 1 + (len(l.fleet)*machineBytes+len(images)*(2*sourceBytes+40))/room
+	of := 1 + (len(l.fleet)*machineBytes+min(len(l.warm.uses), hintImages)*(2*sourceBytes+40))/room
 	if c.now-l.hintsAt < hintsEvery/int64(of) || !c.sure() || c.budget.level < 4 {
 		return
 	}
 	l.hintsAt = c.now
 	l.hintsNext = (l.hintsNext + 1) % of
 	key := hintsKey + "/" + strconv.Itoa(l.hintsNext)
-	value := c.encodeHints(images, l.hintsNext, of)
+	value := c.encodeHints(c.hintImages(), l.hintsNext, of)
 	if string(value) == string(l.hints[key]) {
 		return
 	}
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -312,11 +312,14 @@
 	return !c.dirty && !c.flying
 }
 
+// waits says that the chunk is to be written and no write is under way.
+func (c *Chunk) waits() bool { return c.dirty && !c.flying }
+
 // Dirty lists the chunks to be written.
 func (j *Job) Dirty() []int {
 	var l []int
 	for i := range j.chunks {
-		if c := &j.chunks[i]; c.dirty && !c.flying {
+		if c := &j.chunks[i]; c.waits() {
 			l = append(l, i)
 		}
 	}
@@ -330,7 +333,7 @@
 // AnyPlacing says the same of all chunks that wait to be written.
 func (j *Job) AnyPlacing() bool {
 	for i := range j.chunks {
-		if c := &j.chunks[i]; c.placing && c.dirty && !c.flying {
+		if c := &j.chunks[i]; c.placing && c.waits() {
 			return true
 		}
 	}
@@ -341,7 +344,7 @@
 func (j *Job) Queued() int64 {
 	var at int64
 	for i := range j.chunks {
-		if c := &j.chunks[i]; c.dirty && !c.flying && (at == 0 || c.Queued < at) {
+		if c := &j.chunks[i]; c.waits() && (at == 0 || c.Queued < at) {
 			at = c.Queued
 		}
 	}
--- a/internal/testbed/day_test.go
+++ b/internal/testbed/day_test.go
@@ -48,41 +48,41 @@
 	return d
 }
 
-// TestLargeArray runs a job of many chunks to its end through a crash.
-func TestLargeArray(t *testing.T) {
-	d := small(77)
-	d.Settings.Teams[0].GPUsMax = 0
-	spec := ledger.Spec{ID: "large", Team: "red", Kind: ledger.Array, Tasks: 3000, Need: ledger.Vec{CPU: 500, GPU: 100, Mem: 100}, Estimate: 2 * second}
-	d.Jobs = []Job{{At: second, Run: 2 * second, Spec: spec}}
-	d.Faults = []Fault{{At: 40 * second, Kind: "crash", Who: -1}}
-	c := Play(d)
-	c.Check.Finish()
-	if len(c.Check.Broken) > 0 || len(c.Unfinished()) > 0 {
-		t.Error(c.String())
-	}
-}
-
-// TestHugeArray plays the largest job there may be to its end, through a crash
-// of all controllers halfway, within the memory of a small controller.
-func TestHugeArray(t *testing.T) {
-	d := small(78)
-	d.Settings.Teams[0].GPUsMax = 0
-	d.Machines, d.Length = 40, 900*second
-	spec := ledger.Spec{ID: "huge", Team: "red", Kind: ledger.Array, Tasks: ledger.MaxTasks, Need: ledger.Vec{CPU: 100, GPU: 10, Mem: 10}, Estimate: 2 * second}
-	d.Jobs = []Job{{At: second, Run: 2 * second, Spec: spec}}
-	d.Faults = []Fault{{At: 100 * second, Kind: "crash", Who: -1}}
-	c := Play(d)
-	c.Check.Finish()
-	if len(c.Check.Broken) > 0 || len(c.Unfinished()) > 0 {
-		t.Error(c.String())
+// TestArrays runs jobs of many chunks, up to the largest there may be, to their
+// end through a crash of all controllers, within the memory of a small one.
+func TestArrays(t *testing.T) {
+	cases := []struct {
+		name            string
+		tasks, machines int
+		need            ledger.Vec
+		crash, length   int64
+	}{
+		{"large", 3000, 8, ledger.Vec{CPU: 500, GPU: 100, Mem: 100}, 40 * second, 400 * second},
+		{"huge", ledger.MaxTasks, 40, ledger.Vec{CPU: 100, GPU: 10, Mem: 10}, 100 * second, 900 * second},
 	}
-	// The most that the heap has held: three controllers, the state service
-	// and all workers at once, within what one of the smallest may have.
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	t.Logf("heap of %d MB at most", m.HeapSys>>20)
-	if m.HeapSys > 125<<20 {
-		t.Errorf("heap of %d MB at most", m.HeapSys>>20)
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := small(uint64(77 + i))
+			d.Settings.Teams[0].GPUsMax = 0
+			d.Machines, d.Length = tc.machines, tc.length
+			spec := ledger.Spec{ID: tc.name, Team: "red", Kind: ledger.Array, Tasks: tc.tasks, Need: tc.need, Estimate: 2 * second}
+			d.Jobs = []Job{{At: second, Run: 2 * second, Spec: spec}}
+			d.Faults = []Fault{{At: tc.crash, Kind: "crash", Who: -1}}
+			c := Play(d)
+			c.Check.Finish()
+			if len(c.Check.Broken) > 0 || len(c.Unfinished()) > 0 {
+				t.Error(c.String())
+			}
+			// The most that the heap has held: three controllers, the state
+			// service and all workers at once, within what one of the
+			// smallest may have.
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			t.Logf("heap of %d MB at most", m.HeapSys>>20)
+			if m.HeapSys > 125<<20 {
+				t.Errorf("heap of %d MB at most", m.HeapSys>>20)
+			}
+		})
 	}
 }
 
