--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -20,7 +20,7 @@
 type redirect struct{ at, keep, served int64 }
 
 func (c *Core) machine(name string) *fleet.Machine {
-	m := c.lead.fleet[name]
+	m := c.lead.fleet.Get(name)
 	if m == nil {
 		m = fleet.New(name, c.now)
 		if c.now == c.lead.since {
@@ -28,7 +28,7 @@
 			m.Answered = c.now + c.hold()
 		}
 		c.knownImages(m)
-		c.lead.fleet[name] = m
+		c.lead.fleet.Add(m)
 	}
 	return m
 }
@@ -140,6 +140,7 @@
 	c.unpark(r.Machine, false)
 	m.Session, m.Seq, m.Heard, m.Answered = r.Session, r.Seq, c.now, c.now
 	m.Addr, m.Zone, m.Spot = r.Addr, r.Zone, r.Spot
+	m.Touch()
 	if m.Type != r.Type || m.Cap == (ledger.Vec{}) {
 		m.Type = r.Type
 		m.SetType(c.types)
@@ -159,22 +160,12 @@
 	orders, ended := c.reported(m, r)
 	orders = c.missing(m, r, orders)
 	if wait := c.parkTime(m, orders, ended); wait > 0 {
-		l.parked[r.Machine] = parked{b.Req, *r, c.now + wait}
+		l.lot.park(m, parked{b.Req, *r, c.now + wait})
 		return
 	}
 	c.emit(Reply{Req: b.Req, Status: 200, Token: l.token, Orders: orders})
 }
 
-// parked is a report whose answer waits a moment for orders: a start can go
-// only into the answer to a report, and the next one is a report interval
-// away. Nothing has been answered to it, so going through it again is as good
-// as having gone through it later.
-type parked struct {
-	req    uint64
-	report Report
-	until  int64
-}
-
 // How long an answer may wait. The worker gives up on it after 4 s and tells
 // nothing new meanwhile, so only a machine without tasks waits for long.
 const (
@@ -202,33 +193,38 @@
 // unparkReady answers the parked reports for which there are orders now, or
 // whose time is up.
 //
-// It goes through all of them, so it is called after what may have made
-// orders and with the ticks, and not after every message.
+// It is called after what may have made orders and with the ticks, and not
+// after every message.
 func (c *Core) unparkReady() {
 	c.lead.unparkWanted = false
-	for name, p := range c.lead.parked {
-		ready := c.now >= p.until
-		if m := c.lead.fleet[name]; m != nil && !ready {
-			for ref := range m.Placed {
-				t := ref.Job.Task(ref.Index)
-				ready = ready || t.Stored && !t.Sent || t.Stop != ""
-			}
-			ready = ready || m.Warm != nil && !m.Warm.Sent
-		}
-		if ready {
-			c.unpark(name, true)
+	for _, name := range c.lead.lot.ready(c.now, func(name string) bool {
+		m := c.lead.fleet.Get(name)
+		return m != nil && hasOrders(m)
+	}) {
+		c.unpark(name, true)
+	}
+}
+
+// hasOrders says whether an answer to a machine's report would have orders.
+func hasOrders(m *fleet.Machine) bool {
+	for ref := range m.Placed {
+		if t := ref.Job.Task(ref.Index); t.Stored && !t.Sent || t.Stop != "" {
+			return true
 		}
 	}
+	return m.Warm != nil && !m.Warm.Sent
 }
 
 // unpark answers a parked report, with orders unless a newer one has come.
 func (c *Core) unpark(name string, answer bool) {
-	p, ok := c.lead.parked[name]
+	p, ok := c.lead.lot.take(name)
 	if !ok {
 		return
 	}
-	delete(c.lead.parked, name)
-	m := c.lead.fleet[name]
+	m := c.lead.fleet.Get(name)
+	if m != nil {
+		m.Touch() // orders for it wait for its next report now
+	}
 	if !answer || m == nil || !c.entitled() {
 		c.emit(Reply{Req: p.req, Status: 503, Error: "an older report"})
 		return
@@ -433,7 +429,7 @@
 	j.FailedOn[m.Name] = true
 	if len(j.FailedOn) > badMachines {
 		// It is the job: two such must not have every machine drained.
-		for _, o := range c.lead.fleet {
+		for _, o := range c.lead.fleet.All() {
 			delete(o.BadJobs, j.ID)
 		}
 		return
@@ -442,6 +438,7 @@
 	if len(m.BadJobs) >= 2 && !m.Drain {
 		c.log.Info("machine looks faulty, draining it", "machine", m.Name, "jobs", len(m.BadJobs))
 		m.Drain = true
+		m.Touch()
 		c.drain(m, 0)
 	}
 }
@@ -520,7 +517,7 @@
 // once told to stop is never wanted again.
 func (c *Core) direct(j *ledger.Job, i int) {
 	t := j.Task(i)
-	m := c.lead.fleet[t.Machine]
+	m := c.lead.fleet.Get(t.Machine)
 	if m == nil || m.Addr == "" || !t.Sent || !c.sure() {
 		return
 	}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -45,7 +45,7 @@
 	// ordinary is when a type's ordinary machines were last wanted.
 	ordinary map[string]int64
 	cloud    cloudState
-	parked   map[string]parked
+	lot      lot
 	// unparkWanted: orders may have come for parked reports.
 	unparkWanted bool
 	// spanWanted is a smaller number of tasks for values that did not fit.
@@ -68,7 +68,7 @@
 }
 
 func newLeaderState(now int64) leaderState {
-	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), parked: map[string]parked{}, ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}}
+	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), lot: newLot(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}}
 }
 
 // commitGap is the least time between transactions, to gather changes.
@@ -470,7 +470,7 @@
 	delete(c.lead.dirty, j)
 	delete(c.lead.shelved, j)
 	j.EachPlaced(func(i int, t *ledger.Task) {
-		if m := c.lead.fleet[t.Machine]; m != nil {
+		if m := c.lead.fleet.Get(t.Machine); m != nil {
 			m.Drop(fleet.Ref{Job: j, Index: i})
 		}
 	})
@@ -480,7 +480,7 @@
 // clear removes a placement that is proven to be gone.
 func (c *Core) clear(j *ledger.Job, i int) {
 	t := j.Task(i)
-	if m := c.lead.fleet[t.Machine]; m != nil {
+	if m := c.lead.fleet.Get(t.Machine); m != nil {
 		m.Drop(fleet.Ref{Job: j, Index: i})
 		if len(m.Placed) == 0 {
 			m.IdleSince = c.now
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -28,7 +28,8 @@
 	// whom ever; stored the same for the state service alone.
 	proof  int64
 	stored int64
-	fleet  map[string]*fleet.Machine
+	fleet  *fleet.Set
+	roster roster
 	leaderState
 }
 
@@ -154,7 +155,7 @@
 
 func (c *Core) takeOver() {
 	c.lead = &leadership{token: c.leader.Token, stamp: c.leaderAt, since: c.now, proof: c.elect.leaseAt, stored: c.elect.leaseAt,
-		fleet: map[string]*fleet.Machine{}, leaderState: newLeaderState(c.now)}
+		fleet: fleet.NewSet(), roster: newRoster(), leaderState: newLeaderState(c.now)}
 	c.takeHints()
 	placed := 0
 	for _, j := range c.jobs {
@@ -179,7 +180,7 @@
 
 func (c *Core) stepDown(why string) {
 	c.log.Info("no longer leading", "token", c.lead.token, "why", why)
-	for _, p := range c.lead.parked {
+	for _, p := range c.lead.lot.byName {
 		c.emit(Reply{Req: p.req, Status: 503, Error: "no longer leading"})
 	}
 	c.lead = nil
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -86,6 +86,11 @@
 	Drain     bool
 	// BadJobs are jobs that failed here since the last success.
 	BadJobs map[string]bool
+
+	// set is the one that the machine is in, at place at of its list.
+	set     *Set
+	at      int
+	touched bool
 }
 
 // Image is an image in a machine's cache: its size, and when it was last used.
@@ -97,6 +102,7 @@
 	if image == "" {
 		return
 	}
+	m.Touch()
 	old, had := m.Images[image]
 	m.Images[image] = Image{max(mb, old.MB), now}
 	if had || m.CacheMB <= 0 {
@@ -134,6 +140,7 @@
 	for i := range types {
 		if t := &types[i]; t.Name == m.Type {
 			m.Cap, m.FetchRate, m.CacheMB = t.Cap, t.FetchRate, t.CacheMB
+			m.Touch()
 		}
 	}
 }
@@ -152,6 +159,7 @@
 // Put adds a placement.
 func (m *Machine) Put(r Ref) {
 	if _, ok := m.Placed[r]; !ok {
+		m.Touch()
 		m.Placed[r] = struct{}{}
 		m.used = m.used.Add(r.Job.Need)
 	}
@@ -160,6 +168,7 @@
 // Drop removes a placement.
 func (m *Machine) Drop(r Ref) {
 	if _, ok := m.Placed[r]; ok {
+		m.Touch()
 		delete(m.Placed, r)
 		m.used = m.used.Sub(r.Job.Need)
 	}
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -176,8 +176,8 @@
 // with a name as long as the longest there is.
 func (c *Core) spanFor() int {
 	name := 11
-	for n := range c.lead.fleet {
-		name = max(name, len(n))
+	for _, m := range c.lead.fleet.All() {
+		name = max(name, len(m.Name))
 	}
 	room := int(c.set.Tight().ValueKB*1000) - 160
 	span := ledger.ChunkTasks
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -45,7 +45,7 @@
 	room := c.valueLimit() * 4 / 5
 	images := c.hintImages()
 	// Every value names all images.
-	of := 1 + (len(l.fleet)*machineBytes+len(images)*2*sourceBytes)/(room-len(images)*imageBytes)
+	of := 1 + (l.fleet.Len()*machineBytes+len(images)*2*sourceBytes)/(room-len(images)*imageBytes)
 	if c.now-l.hintsAt < max(hintsEvery/int64(of), int64(1e6/(c.writeRate()*hintsShare))) || !c.sure() || c.budget.level < 4 {
 		return
 	}
@@ -98,13 +98,13 @@
 			}
 		}
 	}
-	for n, m := range l.fleet {
+	for _, m := range l.fleet.All() {
 		if int(m.Hash%uint32(of)) != part {
 			continue
 		}
 		for im, has := range m.Images {
 			if i, ok := bit[im]; ok {
-				h.Machines[n] |= 1 << i
+				h.Machines[m.Name] |= 1 << i
 				h.Images[i].MB = max(h.Images[i].MB, has.MB)
 			}
 		}
--- /dev/null
+++ b/internal/core/lot.go
@@ -0,0 +1,95 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/tidwall/btree"
+
+	"github.com/zinclb/zinclb/internal/core/fleet"
+)
+
+// parked is a report whose answer waits a moment for orders: a start can go
+// only into the answer to a report, and the next one is a report interval
+// away. Nothing has been answered to it, so going through it again is as good
+// as having gone through it later.
+type parked struct {
+	req    uint64
+	report Report
+	until  int64
+}
+
+// lot is where reports are parked. At any moment a good part of an idle fleet
+// is, so that neither the ticks nor a write may go through all of it.
+type lot struct {
+	byName map[string]parked
+	// byTime is by when their time is up, likely are the machines that have
+	// something that may become an order.
+	byTime *btree.BTreeG[parkedUntil]
+	likely map[string]struct{}
+}
+
+type parkedUntil struct {
+	at   int64
+	name string
+}
+
+func newLot() lot {
+	return lot{byName: map[string]parked{}, likely: map[string]struct{}{}, byTime: btree.NewBTreeGOptions(func(a, b parkedUntil) bool {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.name, b.name)) < 0
+	}, btree.Options{NoLocks: true})}
+}
+
+// has says whether a machine's report is parked.
+func (l *lot) has(name string) bool {
+	_, ok := l.byName[name]
+	return ok
+}
+
+// park keeps a report; the machine's last one was taken out.
+func (l *lot) park(m *fleet.Machine, p parked) {
+	m.Touch()
+	l.byName[m.Name] = p
+	l.byTime.Set(parkedUntil{p.until, m.Name})
+	if len(m.Placed) > 0 || m.Warm != nil {
+		l.likely[m.Name] = struct{}{}
+	}
+}
+
+// expect notes that there may soon be orders for a machine.
+func (l *lot) expect(name string) {
+	if l.has(name) {
+		l.likely[name] = struct{}{}
+	}
+}
+
+// take takes a report out.
+func (l *lot) take(name string) (parked, bool) {
+	p, ok := l.byName[name]
+	if ok {
+		delete(l.byName, name)
+		delete(l.likely, name)
+		l.byTime.Delete(parkedUntil{p.until, name})
+	}
+	return p, ok
+}
+
+// ready lists those whose time is up, and of the likely ones those that have
+// orders.
+func (l *lot) ready(now int64, hasOrders func(name string) bool) []string {
+	var names []string
+	l.byTime.Scan(func(u parkedUntil) bool {
+		if u.at <= now {
+			names = append(names, u.name)
+		}
+		return u.at <= now
+	})
+	due := len(names)
+	for name := range l.likely {
+		if l.byName[name].until > now && hasOrders(name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names[due:])
+	return names
+}
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -124,7 +124,7 @@
 	if l.cloud.failed > l.cloud.listed {
 		v.Troubles = append(v.Troubles, "the cloud does not answer")
 	}
-	for _, m := range l.fleet {
+	for _, m := range l.fleet.All() {
 		if i := c.bounds.Part(m.Name); i < len(v.Partitions) {
 			v.Partitions[i].Machines++
 		}
@@ -169,7 +169,7 @@
 		return "for running tasks to end"
 	}
 	able := 0
-	for _, m := range c.lead.fleet {
+	for _, m := range c.lead.fleet.All() {
 		if c.usable(m) && j.Allows(m.Type, m.Zone, m.Spot, m.Cap) {
 			able++
 		}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -63,33 +63,18 @@
 
 const forever = int64(1) << 50
 
-// usable says whether tasks may be placed on a machine now: its worker has
-// accepted this leader, reports in time, and the machine is to stay.
-func (c *Core) usable(m *fleet.Machine) bool {
-	report := config.Secs(c.set.Workers.ReportS)
-	return m.Fresh && !m.Drain && !m.Releasing && m.NoticeAt == 0 && c.now-m.Heard < report*2+second && m.Cap != ledger.Vec{}
-}
-
 type usage struct{ cpu, gpu int64 }
 
 // usage is what the teams' placements take, stored or planned, and what
 // warming tasks take in their names.
 func (c *Core) usage() map[string]usage {
-	used := map[string]usage{}
+	used := maps.Clone(c.lead.warm.used)
 	for _, j := range c.jobs {
 		u := used[j.Team]
 		u.cpu += j.Need.CPU * int64(j.NumPlaced)
 		u.gpu += j.Need.GPU * int64(j.NumPlaced)
 		used[j.Team] = u
 	}
-	for _, m := range c.lead.fleet {
-		if m.Warm != nil {
-			u := used[m.Warm.Team]
-			u.cpu += m.Warm.Need.CPU
-			u.gpu += m.Warm.Need.GPU
-			used[m.Warm.Team] = u
-		}
-	}
 	return used
 }
 
@@ -102,12 +87,14 @@
 	}
 	c.inheritPriorities()
 	used := c.usage()
-	guaranteed := c.guaranteed()
-	machines, byName := c.schedMachines(guaranteed)
-	jobs := c.schedJobs(used, guaranteed)
+	unfinished := c.unfinished()
+	guaranteed := c.guaranteed(unfinished)
+	machines := c.refresh()
+	jobs := c.schedJobs(unfinished, used, guaranteed)
 	report := config.Secs(c.set.Workers.ReportS)
-	p := sched.Planner{Now: c.now, Queues: queues, Machines: machines, Budget: planTasks, Patience: 2*report + 3*second,
-		SpotFirst: c.spotFirst(), Ahead: len(machines) / machinesAhead, Claims: c.claims(), Largest: c.largest(),
+	p := sched.Planner{Now: c.now, Queues: queues, Index: machines, Worth: c.imageWorth(), Budget: planTasks, Patience: 2*report + 3*second,
+		SpotFirst: c.spotFirst(), Ahead: machines.Len() / machinesAhead, Claims: c.claims(), Largest: c.largest(),
+		Load: func(m *sched.Machine) { c.loadRuns(m, guaranteed) },
 		TeamOver: func(team string, need ledger.Vec) bool {
 			t := c.set.Team(team)
 			return t == nil || used[team].gpu-need.GPU >= int64(t.GPUs*1000) && (t.CPUs == 0 || used[team].cpu-need.CPU >= int64(t.CPUs*1000))
@@ -121,13 +108,14 @@
 			a = j.NextAttempt()
 			attempts[j] = a
 		}
-		m := byName[s.Machine.Name]
+		m := l.fleet.Get(s.Machine.Name)
 		c.log.Debug("placed", "class", j.Class, "team", j.Team, "guaranteed", s.Job.Guaranteed, "job", j.ID, "task", s.Index, "attempt", a, "machine", m.Name, "type", m.Type,
 			"spot", m.Spot, "image", j.Image, "has_image", m.Images[j.Image].Used != 0, "known_s", float64(c.now-j.Known)/1e6)
 		j.Place(s.Index, m.Name, a, c.now)
 		j.Task(s.Index).Trial = c.wantsTrial(j)
 		m.Put(fleet.Ref{Job: j, Index: s.Index})
 		m.IdleSince = 0
+		l.lot.expect(m.Name)
 		c.mark(j)
 		c.unclaim(j, m.Name)
 	}
@@ -155,7 +143,7 @@
 	}
 	c.endTrials(plan, guaranteed)
 	if len(plan.Waiting) > 0 || len(plan.Pivots) > 0 {
-		c.log.Debug("round", "machines", len(machines), "starts", len(plan.Starts), "waiting", len(plan.Waiting), "pivots", len(plan.Pivots), "stops", len(plan.Stops))
+		c.log.Debug("round", "machines", machines.Len(), "starts", len(plan.Starts), "waiting", len(plan.Waiting), "pivots", len(plan.Pivots), "stops", len(plan.Stops))
 	}
 }
 
@@ -221,7 +209,7 @@
 // wanted says whether a job that waits could use a machine, and
 // would go before the requeued one.
 func (c *Core) wanted(machine string, requeued *sched.Job, waiting []*sched.Job) bool {
-	m := c.lead.fleet[machine]
+	m := c.lead.fleet.Get(machine)
 	if m == nil {
 		return false
 	}
@@ -233,44 +221,15 @@
 	return false
 }
 
-func (c *Core) schedMachines(guaranteed map[*ledger.Job]bool) ([]*sched.Machine, map[string]*fleet.Machine) {
-	var list []*sched.Machine
-	worth := c.imageWorth()
-	byName := map[string]*fleet.Machine{}
-	for _, m := range c.lead.fleet {
-		if !c.usable(m) {
-			continue
-		}
-		sm := &sched.Machine{Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Part: c.bounds.PartOf(m.Hash),
-			Cap: m.Cap, Free: m.Free(), FetchRate: m.FetchRate, Images: m.Images, Reach: c.reach(m)}
-		for im := range m.Images {
-			sm.Worth += worth[im]
-		}
-		if len(m.Placed) > 0 {
-			sm.Runs = make([]sched.Run, 0, len(m.Placed)+1)
-		}
-		for ref := range m.Placed {
-			sm.Runs = append(sm.Runs, c.run(m, ref, guaranteed[ref.Job]))
-		}
-		slices.SortFunc(sm.Runs, func(a, b sched.Run) int {
-			return cmp.Or(cmp.Compare(a.End, b.End), cmp.Compare(a.Job.ID, b.Job.ID), cmp.Compare(a.Index, b.Index))
-		})
-		list = append(list, sm)
-		byName[m.Name] = m
-	}
-	slices.SortFunc(list, func(a, b *sched.Machine) int { return cmp.Compare(a.Name, b.Name) })
-	return list, byName
-}
-
-// reach is how long it probably takes until orders can get to a machine: they
+// nextOrders is when orders can probably get to a machine next: they
 // travel in the answer to a report, so a parked one takes them at once, and
 // else they wait for the next. Where reports are seconds apart that decides
 // when an urgent job starts.
-func (c *Core) reach(m *fleet.Machine) int64 {
-	if _, ok := c.lead.parked[m.Name]; ok {
+func (c *Core) nextOrders(m *fleet.Machine) int64 {
+	if c.lead.lot.has(m.Name) {
 		return 0
 	}
-	return max(0, m.Heard+config.Secs(c.set.Workers.ReportS)-c.now)
+	return m.Heard + config.Secs(c.set.Workers.ReportS)
 }
 
 // run estimates how long a placed task holds its room. One past its estimate
@@ -330,10 +289,10 @@
 
 // guaranteed finds the jobs that fit into their team's guarantee together
 // with the team's earlier unfinished jobs.
-func (c *Core) guaranteed() map[*ledger.Job]bool {
+func (c *Core) guaranteed(unfinished []*ledger.Job) map[*ledger.Job]bool {
 	asked := map[string]usage{}
 	in := map[*ledger.Job]bool{}
-	for _, j := range c.unfinished() {
+	for _, j := range unfinished {
 		left := int64(j.Tasks - j.NumDone)
 		u := asked[j.Team]
 		u.cpu += j.Need.CPU * left
@@ -347,10 +306,10 @@
 }
 
 // schedJobs lists the jobs that have tasks to place.
-func (c *Core) schedJobs(used map[string]usage, guaranteed map[*ledger.Job]bool) []*sched.Job {
+func (c *Core) schedJobs(unfinished []*ledger.Job, used map[string]usage, guaranteed map[*ledger.Job]bool) []*sched.Job {
 	rooms := map[string]*sched.Room{}
 	var jobs []*sched.Job
-	for _, j := range c.unfinished() {
+	for _, j := range unfinished {
 		if j.Unplaced() <= 0 || c.now < j.NotBefore || j.Waits() {
 			continue
 		}
@@ -463,7 +422,7 @@
 	zones := map[string]int{}
 	known := true
 	j.EachPlaced(func(_ int, t *ledger.Task) {
-		m := c.lead.fleet[t.Machine]
+		m := c.lead.fleet.Get(t.Machine)
 		if m == nil || m.Zone == "" {
 			known = false
 			return
@@ -513,7 +472,7 @@
 // out: hold and lease after the last answer that anybody can have given.
 func (c *Core) silentTick() {
 	lease := c.leaseTime()
-	for _, m := range c.lead.fleet {
+	for _, m := range c.lead.fleet.All() {
 		if len(m.Placed) == 0 || c.now-m.Answered < lease {
 			continue
 		}
@@ -544,6 +503,7 @@
 		}
 	}
 	m.Fresh = false
+	m.Touch()
 }
 
 // boundsTick writes the partitions' bounds and holders: when a holder is
@@ -556,7 +516,7 @@
 	l.boundsAt = c.now
 	// A machine counts while it reports: the interval is the settings'.
 	var hashes []uint32
-	for _, m := range l.fleet {
+	for _, m := range l.fleet.All() {
 		if m.Heard != 0 && c.now-m.Heard < 10*second+2*config.Secs(c.set.Workers.ReportS) {
 			hashes = append(hashes, m.Hash)
 		}
@@ -601,7 +561,7 @@
 		return false
 	}
 	machines, heard := 0, 0
-	for _, m := range l.fleet {
+	for _, m := range l.fleet.All() {
 		if m.Heard == 0 || c.now-m.Heard > 60*second {
 			continue
 		}
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -89,8 +89,9 @@
 			} else {
 				delete(r.c.jobs, "j")
 			}
-			m := r.c.lead.fleet["x0"]
+			m := r.c.lead.fleet.Get("x0")
 			m.Heard = r.now
+			m.Touch()
 			r.c.now = r.now
 			r.c.lead.proof, r.c.lead.stored = r.now, r.now
 			r.c.plan()
@@ -126,7 +127,7 @@
 		r.place(j, true)
 		j.Task(0).Started = r.now
 		r.c.now = r.now + tc.ran
-		got := r.c.run(r.c.lead.fleet["x0"], fleet.Ref{Job: j, Index: 0}, tc.guaranteed)
+		got := r.c.run(r.c.lead.fleet.Get("x0"), fleet.Ref{Job: j, Index: 0}, tc.guaranteed)
 		if spared := got.Lost > tc.ran; spared != tc.spared || got.Guaranteed != tc.guaranteed {
 			t.Errorf("%s: stopping it after %d s costs %d s", tc.name, tc.ran/second, got.Lost/second)
 		}
@@ -145,7 +146,7 @@
 		r.place(j, true)
 		j.EachPlaced(func(_ int, t *ledger.Task) { t.Started = r.now })
 		r.c.now = r.now + 60*second
-		if got := r.c.run(r.c.lead.fleet["x0"], fleet.Ref{Job: j, Index: 0}, false).Lost; got != tc.n*60*second {
+		if got := r.c.run(r.c.lead.fleet.Get("x0"), fleet.Ref{Job: j, Index: 0}, false).Lost; got != tc.n*60*second {
 			t.Errorf("kind %v: %d s, want %d", tc.kind, got/second, tc.n*60)
 		}
 	}
@@ -185,8 +186,9 @@
 			if got := stops(j); got != tc.want {
 				t.Errorf("got %q, want %q", got, tc.want)
 			}
-			used, in := r.c.usage(), r.c.guaranteed()
-			for _, s := range r.c.schedJobs(used, in) {
+			all := r.c.unfinished()
+			used, in := r.c.usage(), r.c.guaranteed(all)
+			for _, s := range r.c.schedJobs(all, used, in) {
 				if s.ID == "g" {
 					t.Error("planned again before its last attempt is gone")
 				}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -71,7 +71,7 @@
 	c.releaseTick(call)
 	// A list takes a call for each page, which have to be paced as well:
 	// large fleets are listed less often, so that most calls stay for renting.
-	pages := int64(1 + len(c.lead.fleet)/ListPage)
+	pages := int64(1 + c.lead.fleet.Len()/ListPage)
 	if !s.listing && c.now-s.listAt >= pages*5*second && call() {
 		s.listing, s.listAt = true, c.now
 		s.level -= float64(pages - 1)
@@ -94,7 +94,7 @@
 	if b := encode(m.Types); c.typesAt == 0 || string(old) != string(b) {
 		c.writeTypes(b)
 	}
-	for _, fm := range c.lead.fleet {
+	for _, fm := range c.lead.fleet.All() {
 		fm.SetType(c.types)
 	}
 	c.lead.planWanted = true
@@ -136,7 +136,7 @@
 	for i := range m.List {
 		x := &m.List[i]
 		listed[x.Name] = true
-		fm := c.lead.fleet[x.Name]
+		fm := c.lead.fleet.Get(x.Name)
 		mk := market{x.Type, x.Zone, x.Spot}
 		switch {
 		case x.Status == "failed":
@@ -161,19 +161,18 @@
 			delete(s.returned, name)
 		}
 	}
-	for name, fm := range c.lead.fleet {
-		fm.Listed = listed[name]
+	for _, fm := range c.lead.fleet.All() {
+		fm.Listed = listed[fm.Name]
 	}
 	for name, b := range s.booting {
 		if !listed[name] && c.now-b.since > 60*second+4*config.Secs(c.set.Cloud.ListLagS) {
 			delete(s.booting, name)
 		}
 	}
-	for name, fm := range c.lead.fleet {
+	for _, fm := range slices.Clone(c.lead.fleet.All()) {
 		// Long silent and no longer listed: only its name is left.
-		if !listed[name] && len(fm.Placed) == 0 && c.now-max(fm.Heard, c.lead.since) > 90*second {
-			c.endWarm(fm)
-			delete(c.lead.fleet, name)
+		if !fm.Listed && len(fm.Placed) == 0 && c.now-max(fm.Heard, c.lead.since) > 90*second {
+			c.forgetMachine(fm)
 		}
 	}
 }
@@ -185,7 +184,7 @@
 	report := config.Secs(c.set.Workers.ReportS)
 	heard, hush, silent := 0, 0, []*fleet.Machine{}
 	idle := map[string][]*fleet.Machine{}
-	for _, m := range c.lead.fleet {
+	for _, m := range c.lead.fleet.All() {
 		quiet := c.now - max(m.Heard, c.lead.since)
 		// One that has not been heard under this leader counts too, if it is
 		// known to have work: else a leader that begins while a zone is cut
@@ -234,7 +233,7 @@
 		}
 	}
 	for name, b := range s.booting {
-		if m := c.lead.fleet[name]; m != nil && m.Heard != 0 {
+		if m := c.lead.fleet.Get(name); m != nil && m.Heard != 0 {
 			// It has come up since the last list, as a whole zone does when
 			// a cut that a leader began in is over.
 			delete(s.booting, name)
@@ -274,11 +273,12 @@
 
 func (c *Core) wantRelease(name string) {
 	s := &c.lead.cloud
-	if m := c.lead.fleet[name]; m != nil {
+	if m := c.lead.fleet.Get(name); m != nil {
 		if m.Releasing {
 			return
 		}
 		m.Releasing = true
+		m.Touch()
 	}
 	if !slices.Contains(s.release, name) {
 		s.release = append(s.release, name)
@@ -292,7 +292,7 @@
 	s := &c.lead.cloud
 	s.busy--
 	for _, name := range m.Names {
-		fm := c.lead.fleet[name]
+		fm := c.lead.fleet.Get(name)
 		if !m.OK {
 			// Not known: it may be executed late. Ask again until it is
 			// certain; nothing is placed there any more.
@@ -303,8 +303,7 @@
 		}
 		if fm != nil {
 			c.gone(fm, "released")
-			c.endWarm(fm)
-			delete(c.lead.fleet, name)
+			c.forgetMachine(fm)
 		}
 		delete(s.booting, name)
 		s.returned[name] = c.now
@@ -312,6 +311,12 @@
 	c.lead.planWanted = true
 }
 
+// forgetMachine drops a machine that is gone, and what it was warmed with.
+func (c *Core) forgetMachine(m *fleet.Machine) {
+	c.endWarm(m)
+	c.lead.fleet.Remove(m)
+}
+
 // rentTick asks for one machine kind at a time where work waits or spare
 // machines are short.
 func (c *Core) rentTick(call func() bool) {
@@ -335,7 +340,7 @@
 		}
 		return counts[t]
 	}
-	for _, m := range c.lead.fleet {
+	for _, m := range c.lead.fleet.All() {
 		switch {
 		case m.Heard == 0 || c.now-m.Heard > 15*second || m.Drain || m.Releasing || m.NoticeAt != 0:
 		case len(m.Placed) > 0:
@@ -346,7 +351,7 @@
 	}
 	per := map[market]int{}
 	for name, b := range s.booting {
-		if m := c.lead.fleet[name]; m == nil || m.Heard == 0 {
+		if m := c.lead.fleet.Get(name); m == nil || m.Heard == 0 {
 			at(b.typ).booting++
 			per[b.market]++
 		}
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -1,9 +1,13 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"runtime"
+	"slices"
 	"testing"
 
 	"github.com/zinclb/zinclb/internal/config"
@@ -24,30 +28,37 @@
 	req   uint64
 	jobs  int
 	late  []any
+	// stored are the keys of the state service, for a leader that takes over.
+	stored map[string]Change
 	// started counts tasks that came to run, writes the changes stored.
 	started, done, writes int
+	// endless: tasks run on and on.
+	endless bool
 }
 
 // hand is one machine's worker.
 type hand struct {
 	name, zone string
+	dead       bool
+	noticed    bool
 	seq        uint64
 	token      uint64
 	due        int64
 	busy       bool
 	changed    bool
 	tasks      map[string]*handTask
-	order      []string
+	order      []*handTask
 }
 
 type handTask struct {
+	name        string
 	attempt     uint32
 	state, why  string
 	runs, ready int64
 }
 
 func newCrowd(machines int) *crowd {
-	w := &crowd{now: second, rev: 10, rng: rand.New(rand.NewPCG(3, 4)), wait: map[uint64]*hand{}}
+	w := &crowd{now: second, rev: 10, rng: rand.New(rand.NewPCG(3, 4)), wait: map[uint64]*hand{}, stored: map[string]Change{}}
 	w.set = Settings{Name: "n0", Boot: "b", Ops: config.Defaults()}
 	w.set.Size, w.set.Zones = 1, []string{"a", "b", "c"}
 	w.set.Teams = []config.Team{{Name: "red", GPUs: 4000, GPUsMax: 15000}, {Name: "blue", GPUs: 2500, GPUsMax: 6000}}
@@ -57,7 +68,9 @@
 	w.set.Limits.CoreShare = 1
 	w.c = New(w.set, w.now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
 	types := []fleet.Type{{Name: "c", Cap: ledger.Vec{CPU: 48000, GPU: 8000, Mem: 288000}, FetchRate: 600, CacheMB: 150_000, Zones: w.set.Zones}}
-	w.step(Listed{Ledger: 10, Rows: []Change{{Key: tokenKey, Value: encode(tokenValue{5}), Stamp: 3}, {Key: typesKey, Value: encode(types), Stamp: 4}}})
+	w.store(tokenKey, encode(tokenValue{5}))
+	w.store(typesKey, encode(types))
+	w.step(Listed{Ledger: 10, Rows: []Change{w.stored[tokenKey], w.stored[typesKey]}})
 	for i := range machines {
 		w.hands = append(w.hands, &hand{name: fmt.Sprintf("host-%06d", i), zone: w.set.Zones[i%3], due: w.now + w.rng.Int64N(8*second), tasks: map[string]*handTask{}})
 	}
@@ -89,6 +102,7 @@
 			var news []Change
 			for _, x := range e.Writes {
 				w.writes++
+				w.store(x.Key, x.Value)
 				if x.Key == leaderKey || x.Key == tokenKey {
 					news = append(news, Change{Key: x.Key, Value: x.Value, Stamp: w.rev})
 				}
@@ -102,6 +116,32 @@
 	}
 }
 
+// store keeps a key as the state service does.
+func (w *crowd) store(key string, value []byte) {
+	if value == nil {
+		delete(w.stored, key)
+		return
+	}
+	w.stored[key] = Change{Key: key, Value: value, Stamp: w.rev}
+}
+
+// crash ends the leader and starts another controller in its place.
+func (w *crowd) crash() {
+	delete(w.stored, leaderKey)
+	w.rev++
+	rows := slices.SortedFunc(maps.Values(w.stored), func(a, b Change) int { return cmp.Compare(a.Key, b.Key) })
+	w.late, w.wait = nil, map[uint64]*hand{}
+	w.set.Boot += "b"
+	w.c = New(w.set, w.now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
+	for _, h := range w.hands {
+		h.busy, h.due = false, w.now+w.rng.Int64N(8*second)
+	}
+	w.step(Listed{Ledger: w.rev, Rows: rows})
+	for w.c.lead == nil {
+		w.tick()
+	}
+}
+
 // obey carries out the orders of an answer.
 func (w *crowd) obey(h *hand, r Reply) {
 	if r.Token > h.token {
@@ -114,8 +154,8 @@
 			if t != nil {
 				continue
 			}
-			h.tasks[o.Task] = &handTask{attempt: o.Attempt, state: "fetching", ready: w.now + 3*second, runs: 10*second + w.rng.Int64N(60*second)}
-			h.order = append(h.order, o.Task)
+			h.tasks[o.Task] = &handTask{name: o.Task, attempt: o.Attempt, state: "fetching", ready: w.now + 3*second, runs: 10*second + w.rng.Int64N(60*second)}
+			h.order = append(h.order, h.tasks[o.Task])
 			h.changed = true
 		case "stop":
 			if t != nil && t.state != "exited" {
@@ -123,12 +163,7 @@
 			}
 		case "forget":
 			delete(h.tasks, o.Task)
-			for i := range h.order {
-				if h.order[i] == o.Task {
-					h.order = append(h.order[:i], h.order[i+1:]...)
-					break
-				}
-			}
+			h.order = slices.DeleteFunc(h.order, func(t *handTask) bool { return t.name == o.Task })
 		}
 	}
 }
@@ -143,13 +178,15 @@
 	}
 	w.step(Tick{Wall: w.now + 1_000_000*second})
 	for _, h := range w.hands {
-		for _, name := range h.order {
-			t := h.tasks[name]
+		if h.dead {
+			continue
+		}
+		for _, t := range h.order {
 			if t.state == "fetching" && w.now >= t.ready {
 				t.state, h.changed = "running", true
 				w.started++
 			}
-			if t.state == "running" && w.now >= t.ready+t.runs {
+			if t.state == "running" && w.now >= t.ready+t.runs && !w.endless {
 				t.state, t.why, h.changed = "exited", "done", true
 				w.done++
 			}
@@ -164,9 +201,11 @@
 		h.seq++
 		w.req++
 		r := Report{Machine: h.name, Addr: "a", Type: "c", Zone: h.zone, Session: 1, Seq: h.seq, Token: h.token, Notice: -1}
-		for _, name := range h.order {
-			t := h.tasks[name]
-			r.Tasks = append(r.Tasks, TaskReport{Name: name, Attempt: uint64(t.attempt), State: t.state, Why: t.why})
+		if h.noticed {
+			r.Notice = 20 * second
+		}
+		for _, t := range h.order {
+			r.Tasks = append(r.Tasks, TaskReport{Name: t.name, Attempt: uint64(t.attempt), State: t.state, Why: t.why})
 		}
 		w.wait[w.req] = h
 		w.step(Beat{Req: w.req, Report: r})
@@ -185,8 +224,14 @@
 	default:
 		s.Kind, s.Tasks, s.Need = ledger.Array, 30+w.rng.IntN(200), ledger.Vec{CPU: 5000, GPU: 1000, Mem: 27000}
 	}
+	w.add(s)
+}
+
+// add has a job accepted.
+func (w *crowd) add(s *ledger.Spec) {
 	w.rev++
-	w.late = append(w.late, Watched{After: w.rev - 1, Ledger: w.rev, Changes: []Change{{Key: jobPrefix + s.ID, Value: encode(ledger.Record{Spec: s}), Stamp: w.rev}}})
+	w.store(jobPrefix+s.ID, encode(ledger.Record{Spec: s}))
+	w.late = append(w.late, Watched{After: w.rev - 1, Ledger: w.rev, Changes: []Change{w.stored[jobPrefix+s.ID]}})
 }
 
 // play plays some seconds with a rate of jobs.
@@ -200,6 +245,132 @@
 	}
 }
 
+// running counts the tasks that run on machines that are there, and fails for
+// one that is on two.
+func (w *crowd) running(t testing.TB) int {
+	on := map[string]string{}
+	for _, h := range w.hands {
+		for name, task := range h.tasks {
+			if h.dead || task.state == "exited" {
+				continue
+			}
+			if o := on[name]; o != "" {
+				t.Fatalf("%s is on %s and %s", name, o, h.name)
+			}
+			on[name] = h.name
+		}
+	}
+	return len(on)
+}
+
+// TestLargeFleet: 10,000 machines with 100,000 tasks; the leader ends, and then
+// a third of the machines at once. What was there goes on, and what is lost
+// starts elsewhere when the machines' leases are over, and on one machine only.
+func TestLargeFleet(t *testing.T) {
+	machines, jobs, each := 10_000, 50, 2000
+	if raceEnabled || testing.Short() {
+		machines, jobs = 1000, 5 // it is the same code, ten times as slow
+	}
+	w := newCrowd(machines)
+	w.endless = true
+	w.play(10, 0)
+	for k := range jobs {
+		w.add(&ledger.Spec{ID: fmt.Sprintf("big-%02d", k), Class: "c", Team: "red", Kind: ledger.Array, Tasks: each, Spot: true, Need: ledger.Vec{CPU: 4000, Mem: 20000}, Estimate: 600 * second, Priority: k % 2})
+	}
+	w.play(60, 0)
+	if n := w.running(t); n != jobs*each {
+		t.Fatalf("%d tasks run, want %d", n, jobs*each)
+	}
+	w.crash()
+	w.play(20, 0)
+	known := 0
+	for _, m := range w.c.lead.fleet.All() {
+		if m.Fresh {
+			known++
+		}
+	}
+	if n := w.running(t); n != jobs*each || known != machines {
+		t.Fatalf("after the take-over %d tasks run, want %d, and %d machines are known", n, jobs*each, known)
+	}
+	for i, h := range w.hands {
+		h.dead = i%3 == 0
+	}
+	w.play(120, 0)
+	if n, most := w.running(t), machines*2/3*12; n < min(jobs*each, most)*99/100 {
+		t.Fatalf("after a third was lost %d tasks run, want %d", n, min(jobs*each, most))
+	}
+	var mem runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&mem)
+	t.Logf("heap with the stand-ins %d MB, parked %d", mem.HeapAlloc>>20, len(w.c.lead.lot.byName))
+	if mem.HeapAlloc > 200<<20 {
+		t.Errorf("the heap has %d MB", mem.HeapAlloc>>20)
+	}
+	runtime.KeepAlive(w)
+}
+
+// TestRoster: whatever happens to machines, the planner's index has what going
+// through all of them would give it.
+func TestRoster(t *testing.T) {
+	for seed := range uint64(4) {
+		w := newCrowd(40)
+		w.rng = rand.New(rand.NewPCG(seed, 5))
+		for range 1500 {
+			switch h := w.hands[w.rng.IntN(len(w.hands))]; w.rng.IntN(60) {
+			case 0:
+				h.dead = !h.dead
+			case 1:
+				if m := w.c.lead.fleet.Get(h.name); m != nil {
+					w.c.wantRelease(h.name)
+				}
+			case 2:
+				w.step(Released{Names: []string{h.name}, OK: true})
+			case 3:
+				if m := w.c.lead.fleet.Get(h.name); m != nil && m.Fresh {
+					h.noticed = true
+				}
+			case 4:
+				if m := w.c.lead.fleet.Get(h.name); m != nil {
+					w.c.gone(m, "a test says so")
+				}
+			case 5:
+				w.c.types[0].Cap.CPU = 40000 + w.rng.Int64N(9)*1000
+				w.step(Types{Types: w.c.types})
+			case 6:
+				w.c.bounds.Cuts = fleet.Cut([]uint32{w.rng.Uint32(), w.rng.Uint32(), w.rng.Uint32()}, queues)
+			case 7, 8, 9:
+				w.submit()
+			}
+			w.tick()
+			w.c.refresh()
+			l, n := w.c.lead, 0
+			for _, m := range l.fleet.All() {
+				v := l.roster.views[m]
+				if !w.c.usable(m) {
+					if v != nil {
+						t.Fatalf("%s is of no use, and yet planned with", m.Name)
+					}
+					continue
+				}
+				n++
+				got := []any{v.Type, v.Zone, v.Spot, v.Part, v.Cap, v.Free, v.Next, v.FetchRate, len(v.Images)}
+				if want := []any{m.Type, m.Zone, m.Spot, w.c.bounds.PartOf(m.Hash), m.Cap, m.Free(), w.c.nextOrders(m), m.FetchRate, len(m.Images)}; !slices.Equal(got, want) || l.roster.index.Find(m.Name) != &v.Machine {
+					t.Fatalf("%s: planned with %v, and known is %v", m.Name, got, want)
+				}
+			}
+			if n != l.roster.index.Len() || n != l.roster.heard.Len() || n != len(l.roster.views) {
+				t.Fatalf("%d machines are of use, %d in the index, %d by their reports", n, l.roster.index.Len(), l.roster.heard.Len())
+			}
+			for name, p := range l.lot.byName {
+				_, likely := l.lot.likely[name]
+				if m := l.fleet.Get(name); m != nil && hasOrders(m) && !likely && p.until > w.now {
+					t.Fatalf("there are orders for %s, and its answer waits", name)
+				}
+			}
+		}
+	}
+}
+
 // BenchmarkCrowd is the cost of leading for a second, with more work than
 // the machines can take.
 func BenchmarkCrowd(b *testing.B) {
@@ -219,6 +390,27 @@
 	}
 }
 
+// BenchmarkFleet is the cost of leading for a second at one rate of jobs,
+// whatever the fleet: what machines cost that have nothing to do with it.
+func BenchmarkFleet(b *testing.B) {
+	for _, n := range []int{400, 1600, 6400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			const rate = 400.0 / 350
+			w := newCrowd(n)
+			w.play(90, rate)
+			w.started, w.writes = 0, 0
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				w.play(1, rate)
+			}
+			b.ReportMetric(float64(w.started)/float64(b.N), "starts/op")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(w.started), "us/start")
+			b.ReportMetric(float64(len(w.c.lead.waiting)), "waiting")
+		})
+	}
+}
+
 // BenchmarkTakeOver is the cost of beginning to lead: reading the stored
 // state, taking the placements over, and the first report of every machine.
 func BenchmarkTakeOver(b *testing.B) {
@@ -242,7 +434,7 @@
 				add(runKey(s.ID, ledger.Value{Span: ledger.ChunkTasks}), v)
 			}
 			for b.Loop() {
-				next := &crowd{now: second, rev: uint64(len(rows) + 1), rng: w.rng, wait: map[uint64]*hand{}, hands: w.hands}
+				next := &crowd{now: second, rev: uint64(len(rows) + 1), rng: w.rng, wait: map[uint64]*hand{}, hands: w.hands, stored: map[string]Change{}}
 				for _, h := range next.hands {
 					h.busy, h.due, h.token = false, second, 0
 				}
--- /dev/null
+++ b/internal/core/sched/index.go
@@ -0,0 +1,260 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/RoaringBitmap/roaring/v2"
+	"github.com/tidwall/btree"
+
+	"github.com/zinclb/zinclb/internal/core/fleet"
+	"github.com/zinclb/zinclb/internal/core/ledger"
+)
+
+// Class is what machines have in common that decides whether a job may ever
+// be on them, and whose partition they are in.
+type Class struct {
+	Type, Zone string
+	Spot       bool
+	Part       int
+	Cap        ledger.Vec
+}
+
+func (c Class) compare(o Class) int {
+	spot := 0
+	if c.Spot != o.Spot {
+		spot = 1
+		if o.Spot {
+			spot = -1
+		}
+	}
+	return cmp.Or(cmp.Compare(c.Type, o.Type), cmp.Compare(c.Zone, o.Zone), spot, cmp.Compare(c.Part, o.Part),
+		cmp.Compare(c.Cap.GPU, o.Cap.GPU), cmp.Compare(c.Cap.CPU, o.Cap.CPU), cmp.Compare(c.Cap.Mem, o.Cap.Mem))
+}
+
+// group is the machines of a class, by what is free on them.
+type group struct {
+	Class
+	free *btree.BTreeG[*Machine]
+}
+
+// image is which machines have an image or are fetching it.
+type image struct {
+	name string
+	on   *roaring.Bitmap
+	// worth is what it is worth in this round to jobs to come, as a delay.
+	worth int64
+}
+
+// Index holds the machines that tasks may be placed on now, so that a round
+// looks only at those that come into question: by class, by what is free on
+// them, and by image. It is kept from round to round; Put and Remove repair it
+// as what is known of a machine changes.
+type Index struct {
+	groups []*group // in the order of their classes
+	byName map[string]*Machine
+	slots  []*Machine
+	vacant []uint32
+	images map[string]*image
+	// round numbers the rounds of planning: what a machine has of an earlier
+	// one means nothing.
+	round uint64
+}
+
+// NewIndex makes an index of machines.
+func NewIndex(machines ...*Machine) *Index {
+	x := &Index{byName: map[string]*Machine{}, images: map[string]*image{}}
+	for _, m := range machines {
+		x.Put(m)
+	}
+	return x
+}
+
+// Len is how many machines there are.
+func (x *Index) Len() int { return len(x.byName) }
+
+// Find returns a machine, or nil.
+func (x *Index) Find(name string) *Machine { return x.byName[name] }
+
+// byFree orders by GPUs first, as they are what runs short where there are any.
+func byFree(a, b *Machine) bool {
+	if a.free.GPU != b.free.GPU {
+		return a.free.GPU < b.free.GPU
+	}
+	if a.free.CPU != b.free.CPU {
+		return a.free.CPU < b.free.CPU
+	}
+	return a.Name < b.Name
+}
+
+// Put enters a machine, or takes over what has changed of one that was
+// entered. One name is always the same *Machine.
+func (x *Index) Put(m *Machine) {
+	class := Class{m.Type, m.Zone, m.Spot, m.Part, m.Cap}
+	if m.group == nil {
+		x.byName[m.Name] = m
+		if n := len(x.vacant); n > 0 {
+			m.slot, x.vacant = x.vacant[n-1], x.vacant[:n-1]
+			x.slots[m.slot] = m
+		} else {
+			m.slot = uint32(len(x.slots))
+			x.slots = append(x.slots, m)
+		}
+	} else if m.group.Class != class {
+		m.group.free.Delete(m)
+		m.group = nil
+	} else if m.free != m.Free {
+		x.setFree(m, m.Free)
+	}
+	if m.group == nil {
+		m.free = m.Free
+		m.group = x.group(class)
+		m.group.free.Set(m)
+	}
+	x.putImages(m)
+	m.round = 0
+}
+
+// Remove takes a machine out.
+func (x *Index) Remove(m *Machine) {
+	if m.group == nil {
+		return
+	}
+	m.group.free.Delete(m)
+	m.group = nil
+	for _, im := range m.images {
+		x.dropImage(im, m)
+	}
+	m.images = m.images[:0]
+	if x.byName[m.Name] == m {
+		delete(x.byName, m.Name)
+	}
+	x.slots[m.slot] = nil
+	x.vacant = append(x.vacant, m.slot)
+}
+
+// setFree moves a machine to its place by what is free on it.
+func (x *Index) setFree(m *Machine, free ledger.Vec) {
+	m.group.free.Delete(m)
+	m.Free, m.free = free, free
+	m.group.free.Set(m)
+}
+
+func (x *Index) group(c Class) *group {
+	i, ok := slices.BinarySearchFunc(x.groups, c, func(g *group, c Class) int { return g.compare(c) })
+	if !ok {
+		x.groups = slices.Insert(x.groups, i, &group{Class: c, free: btree.NewBTreeGOptions(byFree, btree.Options{NoLocks: true})})
+	}
+	return x.groups[i]
+}
+
+// putImages repairs which images a machine has. Most have a few, and mostly the
+// same as before.
+func (x *Index) putImages(m *Machine) {
+	m.images = slices.DeleteFunc(m.images, func(im *image) bool {
+		if _, ok := m.Images[im.name]; ok {
+			return false
+		}
+		x.dropImage(im, m)
+		return true
+	})
+	if len(m.images) == len(m.Images) {
+		return
+	}
+	for name := range m.Images {
+		im := x.images[name]
+		if im == nil {
+			im = &image{name: name, on: roaring.New()}
+			x.images[name] = im
+		}
+		if im.on.CheckedAdd(m.slot) {
+			m.images = append(m.images, im)
+		}
+	}
+}
+
+func (x *Index) dropImage(im *image, m *Machine) {
+	im.on.Remove(m.slot)
+	if im.on.IsEmpty() {
+		delete(x.images, im.name)
+	}
+}
+
+// begin starts a round, in which images are worth so much.
+func (x *Index) begin(worth map[string]int64) {
+	x.round++
+	for name, im := range x.images {
+		im.worth = worth[name]
+	}
+}
+
+// with calls f for the machines that have an image.
+func (x *Index) with(name string, f func(*Machine)) {
+	if im := x.images[name]; im != nil {
+		for it := im.on.Iterator(); it.HasNext(); {
+			f(x.slots[it.Next()])
+		}
+	}
+}
+
+// Having counts the machines that have an image and satisfy keep.
+func (x *Index) Having(name string, keep func(*Machine) bool) int {
+	n := 0
+	x.with(name, func(m *Machine) {
+		if keep(m) {
+			n++
+		}
+	})
+	return n
+}
+
+// Machine is a machine that tasks may be placed on now. Its exported fields are
+// set by the owner, who then calls Index.Put.
+type Machine struct {
+	Name, Type, Zone string
+	Spot             bool
+	Part             int
+	Cap, Free        ledger.Vec
+	// Next is when orders can get to it next: in the answer to its worker's
+	// next report, or at once if one waits for them.
+	Next int64
+	// FetchRate is in MB a second, Images what it has or is fetching; the
+	// planner only reads it, and keeps what it adds itself in coming.
+	FetchRate int64
+	Images    map[string]fleet.Image
+	// Runs are what occupies it, by their ends; where the planner has Load
+	// they are there once it was called.
+	Runs []Run
+
+	group  *group
+	free   ledger.Vec // what it is ordered by in its group
+	slot   uint32
+	images []*image
+	// What follows is of one round.
+	round  uint64
+	loaded bool
+	worth  int64
+	holds  []hold
+	coming []string
+}
+
+// has says whether the machine has an image or will have it.
+func (m *Machine) has(name string) bool {
+	for _, im := range m.images {
+		if im.name == name {
+			return true
+		}
+	}
+	return slices.Contains(m.coming, name)
+}
+
+// claimedBefore says whether the machine is claimed for another job that j may
+// not take it from.
+func (m *Machine) claimedBefore(j *Job) bool {
+	return slices.ContainsFunc(m.holds, func(h hold) bool { return h.kind == claimed && h.binds(j) })
+}
+
+// claimedFor says whether room is being made there for j.
+func (m *Machine) claimedFor(j *Job) bool {
+	return slices.ContainsFunc(m.holds, func(h hold) bool { return h.kind == claimed && h.by.Job == j.Job })
+}
--- /dev/null
+++ b/internal/core/sched/recorded_test.go
@@ -0,0 +1,138 @@
+package sched
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/zinclb/zinclb/internal/core/fleet"
+	"github.com/zinclb/zinclb/internal/core/ledger"
+)
+
+// problem makes a planning round out of a seed: machines of three types in
+// three zones with work on them, jobs of all kinds that wait, and claims.
+func problem(seed uint64) ([]*Machine, []*Job, Planner) {
+	r := rand.New(rand.NewPCG(seed, 7))
+	pick := func(list ...string) string { return list[r.IntN(len(list))] }
+	p := Planner{Now: 1000 * s, Queues: 3, Budget: []int{400, 60, 5}[r.IntN(3)], Patience: int64(5+r.IntN(20)) * s, Ahead: r.IntN(4),
+		SpotFirst: map[string]bool{"g": r.IntN(2) == 0}, Largest: ledger.Vec{CPU: 10000, GPU: 2000, Mem: 38000}}
+	teams := []string{"red", "blue", "green"}
+	over := map[string]bool{"red": r.IntN(2) == 0, "blue": r.IntN(2) == 0}
+	p.TeamOver = func(team string, _ ledger.Vec) bool { return over[team] }
+	caps := map[string]ledger.Vec{"v": {CPU: 8000, Mem: 16000}, "m": {CPU: 16000, Mem: 64000}, "g": {CPU: 12000, GPU: 2000, Mem: 48000}}
+	spec := func(id string) *ledger.Spec {
+		sp := &ledger.Spec{ID: id, Team: teams[r.IntN(3)], Priority: r.IntN(4), Kind: ledger.Array, Tasks: 1 + r.IntN(40), Need: ledger.Vec{CPU: int64(1+r.IntN(3)) * 1000, Mem: 3200},
+			Spot: r.IntN(3) > 0, Image: fmt.Sprint("im", r.IntN(5)), ImageMB: int64(1+r.IntN(8)) * 1000, Estimate: int64(10+r.IntN(300)) * s}
+		if r.IntN(2) == 0 {
+			sp.Need = ledger.Vec{CPU: int64(5+5*r.IntN(2)) * 1000, GPU: int64(1+r.IntN(2)) * 1000, Mem: 18000}
+		}
+		switch r.IntN(5) {
+		case 0, 1:
+			sp.Kind, sp.Tasks, sp.OneZone = ledger.Gang, 1<<r.IntN(4), r.IntN(2) == 0
+		case 2:
+			sp.Spread = r.IntN(2) == 0
+		}
+		if r.IntN(2) == 0 {
+			sp.Checkpoint, sp.Save = 15*s, int64(1+r.IntN(6))*s
+		}
+		if r.IntN(6) == 0 {
+			sp.Types = []string{pick("v", "m", "g")}
+		}
+		if r.IntN(8) == 0 {
+			sp.Zone = pick("a", "b", "c")
+		}
+		return sp
+	}
+	var machines []*Machine
+	n := []int{3, 30, 200}[r.IntN(3)]
+	busy := r.IntN(4)
+	for i := range n {
+		typ := pick("v", "m", "g")
+		m := &Machine{Name: fmt.Sprintf("host-%04d", i), Type: typ, Zone: pick("a", "b", "c"), Spot: r.IntN(3) == 0, Part: r.IntN(3), Cap: caps[typ], Free: caps[typ],
+			FetchRate: []int64{0, 400, 1000}[r.IntN(3)], Images: map[string]fleet.Image{}}
+		setReach(&p, m, int64(r.IntN(3))*2*s)
+		for range r.IntN(3) {
+			m.Images[fmt.Sprint("im", r.IntN(5))] = fleet.Image{MB: 1000, Used: 1}
+		}
+		for k := range 4 {
+			sp := spec(fmt.Sprintf("run-%d-%d", i, k))
+			if r.IntN(4) < busy && sp.Need.Fits(m.Free) {
+				j := ledger.NewJob(sp)
+				j.Rank, j.NumPlaced = sp.Priority, 1+r.IntN(2)
+				m.Free = m.Free.Sub(sp.Need)
+				m.Runs = append(m.Runs, Run{End: p.Now + int64(1+r.IntN(200))*s, Job: j, Index: k, Lost: int64(r.IntN(90)) * s * sp.Need.Weight(), Stoppable: r.IntN(5) > 0, Guaranteed: r.IntN(2) == 0})
+			}
+		}
+		slices.SortFunc(m.Runs, func(a, b Run) int { return int(a.End - b.End) })
+		machines = append(machines, m)
+	}
+	rooms := map[string]*Room{"red": {CPU: Free, GPU: Free}, "blue": {CPU: int64(r.IntN(200)) * 1000, GPU: Free}, "green": {CPU: Free, GPU: int64(r.IntN(30)) * 1000}}
+	var jobs []*Job
+	for i := range 1 + r.IntN(40) {
+		sp := spec(fmt.Sprintf("job-%02d", i))
+		j := ledger.NewJob(sp)
+		j.Rank, j.Arrival = min(sp.Priority+r.IntN(2), 3), uint64(i)
+		if r.IntN(4) == 0 {
+			j.LastEnd = p.Now + int64(r.IntN(500))*s
+		}
+		jobs = append(jobs, &Job{Job: j, Queue: r.IntN(3), Length: sp.Estimate, Room: rooms[sp.Team], Guaranteed: r.IntN(3) == 0, Late: r.IntN(6) == 0, Turn: int64(r.IntN(9)) * s, OnGPUs: sp.Need.GPU == 0 && r.IntN(4) == 0})
+		for range r.IntN(3) {
+			p.Claims = append(p.Claims, Claim{Job: j, Machine: machines[r.IntN(n)].Name})
+		}
+	}
+	return machines, jobs, p
+}
+
+// digest is a short name of all that a plan says.
+func digest(plan Plan) string {
+	var b strings.Builder
+	for _, x := range plan.Starts {
+		fmt.Fprintf(&b, "start %s/%d %s\n", x.Job.ID, x.Index, x.Machine.Name)
+	}
+	for _, x := range plan.Pivots {
+		fmt.Fprintf(&b, "pivot %d %s %d\n", x.Queue, x.Job.ID, x.At)
+	}
+	for _, x := range plan.Stops {
+		fmt.Fprintf(&b, "stop %s/%d for %s %v\n", x.Job.ID, x.Index, x.For.ID, x.Kill)
+	}
+	for _, x := range plan.Claims {
+		fmt.Fprintf(&b, "claim %s %s\n", x.Job.ID, x.Machine)
+	}
+	for _, x := range plan.Waiting {
+		fmt.Fprintf(&b, "waits %s\n", x.ID)
+	}
+	return fmt.Sprintf("%d %d %d %d %016x", len(plan.Starts), len(plan.Pivots), len(plan.Stops), len(plan.Claims), xxhash.Sum64String(b.String()))
+}
+
+// TestRecorded plans the rounds whose plans were recorded from the planner that
+// went through all machines for every task: the indexes may change no choice.
+func TestRecorded(t *testing.T) {
+	f, err := os.Open("testdata/plans.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	seed := uint64(0)
+	for in := bufio.NewScanner(f); in.Scan(); seed++ {
+		machines, jobs, p := problem(seed)
+		if got := digest(planOn(p, machines, jobs)); got != in.Text() {
+			t.Errorf("round %d: %s, recorded %s", seed, got, in.Text())
+		}
+	}
+	if seed < 100 {
+		t.Fatalf("only %d rounds recorded", seed)
+	}
+}
+
+func setReach(p *Planner, m *Machine, after int64) { m.Next = p.Now + after }
+
+func planOn(p Planner, machines []*Machine, jobs []*Job) Plan {
+	p.Index = NewIndex(machines...)
+	return p.Plan(jobs)
+}
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -5,9 +5,9 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 
-	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 )
 
@@ -67,45 +67,6 @@
 	Machine string
 }
 
-// Machine is a machine that tasks may be placed on now.
-type Machine struct {
-	Name, Type, Zone string
-	Spot             bool
-	Part             int
-	Cap, Free        ledger.Vec
-	// Reach is how long it takes until orders can get to it: none while an
-	// answer to its worker waits for them.
-	Reach int64
-	// Worth is what its images are worth to jobs to come, as a delay.
-	Worth int64
-	// FetchRate is in MB a second, Images what it has or is fetching; the
-	// planner only reads it, and keeps what it adds itself in coming.
-	FetchRate int64
-	Images    map[string]fleet.Image
-	Runs      []Run
-	holds     []hold
-	coming    []string
-}
-
-// claimedBefore says whether the machine is claimed for another job that j may
-// not take it from.
-func (m *Machine) claimedBefore(j *Job) bool {
-	return slices.ContainsFunc(m.holds, func(h hold) bool { return h.kind == claimed && h.binds(j) })
-}
-
-// claimedFor says whether room is being made there for j.
-func (m *Machine) claimedFor(j *Job) bool {
-	return slices.ContainsFunc(m.holds, func(h hold) bool { return h.kind == claimed && h.by.Job == j.Job })
-}
-
-// has says whether the machine has an image or will have it.
-func (m *Machine) has(image string) bool {
-	if _, ok := m.Images[image]; ok {
-		return true
-	}
-	return slices.Contains(m.coming, image)
-}
-
 // Job is a job with tasks that wait.
 type Job struct {
 	*ledger.Job
@@ -189,9 +150,14 @@
 
 // Planner carries one planning round.
 type Planner struct {
-	Now      int64
-	Queues   int
-	Machines []*Machine
+	Now    int64
+	Queues int
+	Index  *Index
+	// Load sets a machine's Runs; a round calls it for those whose work it has
+	// to know, once each. Without it they are as they stand.
+	Load func(*Machine)
+	// Worth is what images are worth to jobs to come, as a delay.
+	Worth map[string]int64
 	// Budget bounds the tasks placed in a round, so that a large array can
 	// not keep reports waiting; the next round goes on.
 	Budget int
@@ -212,6 +178,11 @@
 	// Claims are those of earlier rounds.
 	Claims []Claim
 	plan   Plan
+	// fetching are the machines on which this round has placed a task that
+	// brings an image.
+	fetching map[string][]*Machine
+	found    []candidate // kept for its room, as at is
+	at       []int64
 }
 
 // order is figure 2's: high priority first, each by arrival; with the
@@ -239,6 +210,7 @@
 
 // Plan walks the queues.
 func (p *Planner) Plan(jobs []*Job) Plan {
+	p.Index.begin(p.Worth)
 	queues := make([][]*Job, p.Queues)
 	slices.SortStableFunc(jobs, order)
 	for _, j := range jobs {
@@ -274,12 +246,9 @@
 	for _, j := range jobs {
 		byJob[j.Job] = j
 	}
-	byName := make(map[string]*Machine, len(p.Machines))
-	for _, m := range p.Machines {
-		byName[m.Name] = m
-	}
 	for _, c := range p.Claims {
-		if j, m := byJob[c.Job], byName[c.Machine]; j != nil && m != nil {
+		if j, m := byJob[c.Job], p.Index.Find(c.Machine); j != nil && m != nil {
+			p.fresh(m)
 			m.holds = append(m.holds, hold{at: p.Now, need: j.Need, by: j, kind: claimed})
 		}
 	}
@@ -354,12 +323,14 @@
 		p.fillGang(j, part)
 		return
 	}
+	c := p.search(j, part, nil, j.zones())
 	for !p.through(j) {
-		m := p.pick(j, part, nil, j.zones())
+		m := c.next()
 		if m == nil {
 			return
 		}
 		p.place(j, m)
+		c.again(m)
 	}
 }
 
@@ -383,20 +354,20 @@
 		for z, k := range j.ZoneOf {
 			zones[z] = k
 		}
+		c := p.search(j, part, zone, zones)
 		for len(got) < n {
-			m := p.pick(j, part, zone, zones)
+			m := c.next()
 			if m == nil {
 				break
 			}
 			p.occupy(j, m, -1)
 			zones[m.Zone]++
 			got = append(got, m)
+			c.again(m)
 		}
 		// Take the trial occupation back; place does it for good.
-		for i := len(got) - 1; i >= 0; i-- {
-			m := got[i]
-			m.Free = m.Free.Add(j.Need)
-			m.Runs = m.Runs[:len(m.Runs)-1]
+		for _, m := range got {
+			p.vacate(j, m)
 		}
 		if len(got) == n {
 			for _, m := range got {
@@ -415,9 +386,9 @@
 		return []*string{nil}
 	}
 	costs := map[string][]int64{}
-	for _, m := range p.Machines {
-		if j.allows(m) && j.Need.Fits(m.Free) {
-			costs[m.Zone] = append(costs[m.Zone], p.cost(j, m, -1))
+	for _, g := range p.Index.groups {
+		if j.allows(g.Class) {
+			p.withRoom(j, g, true, func(m *Machine) { costs[g.Zone] = append(costs[g.Zone], p.cost(j, m, -1)) })
 		}
 	}
 	cost := map[string]int64{}
@@ -437,50 +408,28 @@
 	return out
 }
 
-// allows says whether a job may ever be on a machine.
-func (j *Job) allows(m *Machine) bool {
-	return j.Allows(m.Type, m.Zone, m.Spot, m.Cap)
+// allows says whether a job may ever be on machines of a class.
+func (j *Job) allows(c Class) bool {
+	return j.Allows(c.Type, c.Zone, c.Spot, c.Cap)
 }
 
 // zoneKey is what machines are told apart by where the tasks of a gang have to
 // be together: the zone, if it matters.
-func (j *Job) zoneKey(m *Machine) string {
+func (j *Job) zoneKey(c Class) string {
 	if j.OneZone {
-		return m.Zone
+		return c.Zone
 	}
 	return ""
 }
 
-// suits says whether m could take a task of j, were it empty.
-func (j *Job) suits(m *Machine) bool {
-	return j.allows(m) && zoneFits(j, m.Zone, j.ZoneOf) && !j.shuns(m)
+// suits says whether a machine of a class could take a task of j, were it empty.
+func (j *Job) suits(c Class) bool {
+	return j.allows(c) && zoneFits(j, c.Zone, j.ZoneOf) && !j.shuns(c)
 }
 
-// shuns says that a job leaves a machine with GPUs to others.
-func (j *Job) shuns(m *Machine) bool {
-	return j.Need.GPU == 0 && m.Cap.GPU > 0 && !j.OnGPUs
-}
-
-// pick finds the machine that costs least for one more task of a job.
-func (p *Planner) pick(j *Job, part int, zone *string, zones map[string]int) *Machine {
-	var best *Machine
-	var least int64
-	for _, m := range p.Machines {
-		if part >= 0 && m.Part != part || zone != nil && m.Zone != *zone || !j.Need.Fits(m.Free) || !j.allows(m) || !zoneFits(j, m.Zone, zones) {
-			continue
-		}
-		if m.Free.GPU > 0 && j.shuns(m) {
-			// What is beside busy GPUs it may have.
-			continue
-		}
-		if !p.harmless(m, j, p.Now+j.lengthOn(m)) {
-			continue
-		}
-		if c := p.cost(j, m, part); best == nil || c < least {
-			best, least = m, c
-		}
-	}
-	return best
+// shuns says that a job leaves machines with GPUs to others.
+func (j *Job) shuns(c Class) bool {
+	return j.Need.GPU == 0 && c.Cap.GPU > 0 && !j.OnGPUs
 }
 
 // zoneFits checks one_zone and scatter against the zones in use.
@@ -511,7 +460,7 @@
 // image fetch, images that others will want, breaking into an idle machine that a gang could have whole,
 // the wrong one of an ordinary and a spot machine, and lending.
 func (p *Planner) cost(j *Job, m *Machine, part int) int64 {
-	c := j.fetch(m) + m.Reach + m.Worth
+	c := j.fetch(m) + p.reach(m) + p.fresh(m).worth
 	whole := m.Free == m.Cap
 	small := j.Need.Times(2).Fits(m.Cap)
 	if whole && small {
@@ -555,6 +504,7 @@
 
 // harmless says that a task of j on m until end delays no hold.
 func (p *Planner) harmless(m *Machine, j *Job, end int64) bool {
+	p.fresh(m)
 	for i := range m.holds {
 		h := &m.holds[i]
 		if end <= h.at || !h.binds(j) {
@@ -570,17 +520,29 @@
 // freeAt is what is free on m at a time, by the estimated ends.
 func (p *Planner) freeAt(m *Machine, at int64) ledger.Vec {
 	free := m.Free
-	for i := range m.Runs {
-		if m.Runs[i].End <= at {
-			free = free.Add(m.Runs[i].Job.Need)
+	for _, r := range p.runs(m) {
+		if r.End > at {
+			break
 		}
+		free = free.Add(r.Job.Need)
 	}
 	return free
 }
 
+// occupy plans a task on m; its work stays in the order of its ends.
 func (p *Planner) occupy(j *Job, m *Machine, index int) {
-	m.Free = m.Free.Sub(j.Need)
-	m.Runs = append(m.Runs, Run{End: p.Now + j.lengthOn(m), Job: j.Job, Index: index})
+	r := Run{End: p.Now + j.lengthOn(m), Job: j.Job, Index: index}
+	runs := p.runs(m)
+	i, _ := slices.BinarySearchFunc(runs, r.End+1, func(o Run, end int64) int { return cmp.Compare(o.End, end) })
+	m.Runs = slices.Insert(runs, i, r)
+	p.Index.setFree(m, m.Free.Sub(j.Need))
+}
+
+// vacate takes back what occupy planned of a gang on trial.
+func (p *Planner) vacate(j *Job, m *Machine) {
+	i := slices.IndexFunc(m.Runs, func(r Run) bool { return r.Job == j.Job && r.Index < 0 })
+	m.Runs = slices.Delete(m.Runs, i, i+1)
+	p.Index.setFree(m, m.Free.Add(j.Need))
 }
 
 func (p *Planner) place(j *Job, m *Machine) {
@@ -596,6 +558,10 @@
 	j.zones()[m.Zone]++
 	if j.Image != "" && !m.has(j.Image) {
 		m.coming = append(m.coming, j.Image)
+		if p.fetching == nil {
+			p.fetching = map[string][]*Machine{}
+		}
+		p.fetching[j.Image] = append(p.fetching[j.Image], m)
 	}
 	p.Budget--
 	p.plan.Starts = append(p.plan.Starts, Start{Job: j, Index: i, Machine: m})
@@ -608,37 +574,33 @@
 	if j.Kind == ledger.Gang {
 		n = j.Unplaced() - j.planned
 	}
-	type option struct {
-		m  *Machine
-		at int64
-	}
-	var opts []option
-	for _, m := range p.Machines {
-		if !j.allows(m) || j.shuns(m) {
+	var opts slots
+	for _, g := range p.Index.groups {
+		if !j.allows(g.Class) || j.shuns(g.Class) || j.OneZone && !zoneFits(j, g.Zone, j.ZoneOf) {
 			continue
 		}
-		for _, t := range p.times(m, j, n) {
-			opts = append(opts, option{m, t})
-		}
+		g.free.Scan(func(m *Machine) bool {
+			for _, t := range p.times(m, j, n) {
+				opts = append(opts, slot{m, t})
+			}
+			return true
+		})
 	}
-	slices.SortStableFunc(opts, func(a, b option) int { return cmp.Compare(a.at, b.at) })
-	perZone := map[string][]option{}
+	heap.Init(&opts)
+	perZone := map[string][]slot{}
 	zones := map[string]int{}
 	for z, k := range j.ZoneOf {
 		zones[z] = k
 	}
-	for _, o := range opts {
-		if j.OneZone {
-			if !zoneFits(j, o.m.Zone, j.ZoneOf) {
-				continue
-			}
-		} else if j.Spread {
+	for len(opts) > 0 {
+		o := heap.Pop(&opts).(slot)
+		if j.Spread && !j.OneZone {
 			if !zoneFits(j, o.m.Zone, zones) {
 				continue
 			}
 			zones[o.m.Zone]++
 		}
-		key := j.zoneKey(o.m)
+		key := j.zoneKey(o.m.group.Class)
 		perZone[key] = append(perZone[key], o)
 		if len(perZone[key]) == n {
 			for _, o := range perZone[key] {
@@ -654,29 +616,31 @@
 // times lists when m has room for the first, second, ... of up to n tasks,
 // next to the holds it already has for others.
 func (p *Planner) times(m *Machine, j *Job, n int) []int64 {
+	p.fresh(m)
 	free, need := m.Free, j.Need
 	for i := range m.holds {
 		if m.holds[i].by.Job != j.Job {
 			free = free.Sub(m.holds[i].need)
 		}
 	}
-	var out []int64
-	take := func(t int64) {
-		for len(out) < n && need.Fits(free) {
-			free = free.Sub(need)
-			out = append(out, t)
-		}
-	}
-	take(p.Now)
-	if len(out) == n {
-		return out
+	out := p.at[:0]
+	for len(out) < n && need.Fits(free) {
+		free = free.Sub(need)
+		out = append(out, p.Now)
 	}
-	runs := slices.Clone(m.Runs)
-	slices.SortFunc(runs, func(a, b Run) int { return cmp.Compare(a.End, b.End) })
-	for _, r := range runs {
-		free = free.Add(r.Job.Need)
-		take(r.End)
+	if len(out) < n {
+		for _, r := range p.runs(m) {
+			free = free.Add(r.Job.Need)
+			for len(out) < n && need.Fits(free) {
+				free = free.Sub(need)
+				out = append(out, r.End)
+			}
+			if len(out) == n {
+				break
+			}
+		}
 	}
+	p.at = out
 	return out
 }
 
@@ -700,9 +664,9 @@
 			lost  int64
 		}
 		byZone := map[string][]option{}
-		for _, m := range p.Machines {
-			if !j.suits(m) || m.claimedBefore(j) {
-				continue // what is stopped there is stopped for another
+		p.each(j, func(m *Machine) {
+			if m.claimedBefore(j) {
+				return // what is stopped there is stopped for another
 			}
 			// What is in the way on a machine that is claimed has been told to
 			// stop. It may take longer than Patience; stopping more elsewhere
@@ -713,18 +677,18 @@
 				if stops, lost, ok := p.victims(j, m); ok {
 					o.stops, o.lost = stops, lost
 				} else if !claimed {
-					continue
+					return
 				}
 			} else if !p.harmless(m, j, p.Now+j.lengthOn(m)) {
-				continue
+				return
 			}
 			if !claimed || len(o.stops) > 0 {
 				// Room without the image is worth as much less.
 				o.lost += j.fetch(m) * j.Need.Weight()
 			}
-			key := j.zoneKey(m)
+			key := j.zoneKey(m.group.Class)
 			byZone[key] = append(byZone[key], o)
-		}
+		})
 		var best []option
 		var least int64
 		for _, opts := range byZone {
@@ -755,7 +719,7 @@
 func (p *Planner) victims(j *Job, m *Machine) (stops []Run, lost int64, ok bool) {
 	free := m.Free
 	var cand []Run
-	for _, r := range m.Runs {
+	for _, r := range p.runs(m) {
 		if !r.Stoppable {
 			continue
 		}
@@ -805,35 +769,48 @@
 		stops []Run
 	}
 	free, all := map[string][]int64{}, map[string][]option{}
-	for _, m := range p.Machines {
-		if !j.suits(m) {
+	cold := forever
+	for _, g := range p.Index.groups {
+		if !j.suits(g.Class) {
 			continue
 		}
-		o, key := option{m: m}, j.zoneKey(m)
-		if j.Need.Fits(m.Free) {
-			if !p.harmless(m, j, p.Now+j.lengthOn(m)) {
-				continue
-			}
-			o.delay = j.fetch(m) + m.Reach
-			free[key] = append(free[key], o.delay)
-		} else {
-			ok := false
-			if o.stops, o.delay, ok = p.swapOn(j, m); !ok {
-				continue
+		key := j.zoneKey(g.Class)
+		p.withRoom(j, g, false, func(m *Machine) {
+			if p.harmless(m, j, p.Now+j.lengthOn(m)) {
+				o := option{m: m, delay: j.fetch(m) + p.reach(m)}
+				free[key] = append(free[key], o.delay)
+				all[key] = append(all[key], o)
 			}
+		})
+	}
+	for _, l := range free {
+		if len(l) >= n {
+			slices.Sort(l)
+			cold = min(cold, l[n-1])
 		}
-		all[key] = append(all[key], o)
 	}
-	cold, warm := forever, forever
+	if cold == forever || cold < swapGain {
+		return false
+	}
+	busy := func(m *Machine) {
+		if !j.suits(m.group.Class) || j.Need.Fits(m.Free) {
+			return
+		}
+		if stops, delay, ok := p.swapOn(j, m); ok {
+			key := j.zoneKey(m.group.Class)
+			all[key] = append(all[key], option{m, delay, stops})
+		}
+	}
+	p.Index.with(j.Image, busy)
+	for _, m := range p.fetching[j.Image] {
+		busy(m)
+	}
+	warm := forever
 	var best []option
-	for key, opts := range all {
+	for _, opts := range all {
 		if len(opts) < n {
 			continue
 		}
-		if l := free[key]; len(l) >= n {
-			slices.Sort(l)
-			cold = min(cold, l[n-1])
-		}
 		slices.SortStableFunc(opts, func(a, b option) int {
 			return cmp.Or(cmp.Compare(a.delay, b.delay), cmp.Compare(len(a.stops), len(b.stops)), cmp.Compare(a.m.Name, b.m.Name))
 		})
@@ -841,7 +818,7 @@
 			best, warm = opts[:n], d
 		}
 	}
-	if cold == forever || cold-warm < swapGain {
+	if cold-warm < swapGain {
 		return false
 	}
 	for _, o := range best {
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -122,7 +122,7 @@
 					j.Room = shared
 				}
 			}
-			p := Planner{Queues: 3, Machines: tc.machines, Budget: 100, Patience: 60 * s, Ahead: tc.ahead, TeamOver: func(string, ledger.Vec) bool { return true }}
+			p := Planner{Queues: 3, Index: NewIndex(tc.machines...), Budget: 100, Patience: 60 * s, Ahead: tc.ahead, TeamOver: func(string, ledger.Vec) bool { return true }}
 			for _, c := range tc.claims {
 				id, machine, _ := strings.Cut(c, "@")
 				for _, j := range tc.jobs {
@@ -171,7 +171,7 @@
 			machines = append(machines, box(fmt.Sprintf("m%02d", i), i%3, 4, int64(10+i)))
 		}
 		jobs := []*Job{job("big", 0, 0, ledger.Array, 100_000, 1, 30), job("g", 1, 2, ledger.Gang, 20, 8, 100), job("h", 2, 1, ledger.Array, 300, 2, 900)}
-		p := Planner{Queues: 3, Machines: machines, Budget: 400, Patience: 60 * s}
+		p := Planner{Queues: 3, Index: NewIndex(machines...), Budget: 400, Patience: 60 * s}
 		p.Plan(jobs)
 	}
 }
@@ -197,7 +197,7 @@
 		machines := []*Machine{{Name: "ordinary", Type: "c", Zone: "a", Cap: size, Free: size}, {Name: "spot", Type: "c", Zone: "a", Spot: true, Cap: size, Free: size}}
 		j := ledger.NewJob(&ledger.Spec{ID: "j", Kind: ledger.Array, Tasks: 1, Need: ledger.Vec{CPU: 3000}, Spot: true, Estimate: 5, Checkpoint: tc.saves})
 		j.Rank, j.LastEnd = tc.rank, tc.lastEnd
-		p := Planner{Queues: 3, Machines: machines, Budget: 10, SpotFirst: map[string]bool{"c": true}}
+		p := Planner{Queues: 3, Index: NewIndex(machines...), Budget: 10, SpotFirst: map[string]bool{"c": true}}
 		plan := p.Plan([]*Job{{Job: j, Room: &Room{CPU: Free, GPU: Free}}})
 		if len(plan.Starts) != 1 || plan.Starts[0].Machine.Name != tc.want {
 			t.Errorf("%s: %+v", tc.name, plan.Starts)
--- a/internal/core/sched/swap_test.go
+++ b/internal/core/sched/swap_test.go
@@ -77,7 +77,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			p := Planner{Queues: 3, Machines: tc.machines, Budget: 100, Patience: 60 * s}
+			p := Planner{Queues: 3, Index: NewIndex(tc.machines...), Budget: 100, Patience: 60 * s}
 			for _, m := range tc.claims {
 				p.Claims = append(p.Claims, Claim{tc.job.Job, m})
 			}
--- a/internal/core/suspect_test.go
+++ b/internal/core/suspect_test.go
@@ -33,7 +33,7 @@
 				r.c.suspect(r.c.machine(fmt.Sprint("m", f.machine)), jobs[f.job])
 			}
 			drained := 0
-			for _, m := range r.c.lead.fleet {
+			for _, m := range r.c.lead.fleet.All() {
 				if m.Drain {
 					drained++
 				}
@@ -81,7 +81,7 @@
 					m.Heard = 0
 				}
 			}
-			delete(r.c.lead.fleet, "m")
+			r.c.lead.fleet.Remove(r.c.lead.fleet.Get("m"))
 			r.now += tc.after * second
 			r.c.now = r.now
 			for i := range tc.heard {
@@ -125,7 +125,7 @@
 			if tc.heard {
 				r.c.machine("b").Heard = r.now
 			}
-			delete(r.c.lead.fleet, "m")
+			r.c.lead.fleet.Remove(r.c.lead.fleet.Get("m"))
 			r.c.releaseTick(func() bool { return false })
 			if got := len(r.c.lead.cloud.release) == 1; got != tc.released {
 				t.Errorf("released: %v", got)
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -59,8 +59,10 @@
 type warmState struct {
 	sources map[string][]*source
 	uses    map[string]imageUse
-	serial  uint32
-	at      int64
+	// used is what warming tasks take in their teams' names.
+	used   map[string]usage
+	serial uint32
+	at     int64
 }
 
 // Bounds of what is remembered for warming.
@@ -72,7 +74,15 @@
 )
 
 func newWarmState() warmState {
-	return warmState{sources: map[string][]*source{}, uses: map[string]imageUse{}}
+	return warmState{sources: map[string][]*source{}, uses: map[string]imageUse{}, used: map[string]usage{}}
+}
+
+// taken adds a warming task, or several or fewer, to what teams use.
+func (warmState) taken(used map[string]usage, w *fleet.Warm, n int64) {
+	u := used[w.Team]
+	u.cpu += n * w.Need.CPU
+	u.gpu += n * w.Need.GPU
+	used[w.Team] = u
 }
 
 // noteUse counts a job's wish for its image; urgent jobs count for more.
@@ -142,7 +152,7 @@
 	}
 	w := &c.lead.warm
 	list := w.sources[s.Image]
-	most := minSources + len(c.lead.fleet)/16
+	most := minSources + c.lead.fleet.Len()/16
 	job := &carrier{}
 	for i := range min(s.Tasks, most/2) {
 		list = append(list, &source{job: job, spec: s, index: i})
@@ -168,7 +178,7 @@
 	// Counted over all types, the many small machines took the turns of the few
 	// whose images matter most.
 	warming, free := map[string]int{}, map[string]int{}
-	for _, m := range l.fleet {
+	for _, m := range l.fleet.All() {
 		if !c.usable(m) || len(m.Placed) > 0 || m.Orphans != (ledger.Vec{}) {
 			continue
 		}
@@ -191,10 +201,9 @@
 			s.send(m)
 			wants.have(s.spec.Image)
 			m.Warm = &fleet.Warm{Task: ledger.TaskName(s.spec.ID, s.index), Attempt: warmAttempt + l.warm.serial, Image: s.spec.Image, ImageMB: s.spec.ImageMB, Need: s.spec.Need, Team: s.spec.Team}
-			u := used[s.spec.Team]
-			u.cpu += s.spec.Need.CPU
-			u.gpu += s.spec.Need.GPU
-			used[s.spec.Team] = u
+			l.lot.expect(m.Name)
+			l.warm.taken(used, m.Warm, 1)
+			l.warm.taken(l.warm.used, m.Warm, 1)
 			warming[m.Type]++
 		}
 	}
@@ -289,6 +298,7 @@
 			s.back()
 		}
 	}
+	c.lead.warm.taken(c.lead.warm.used, m.Warm, -1)
 	m.Warm = nil
 }
 
--- a/internal/core/warm_test.go
+++ b/internal/core/warm_test.go
@@ -129,7 +129,7 @@
 				m := fleet.New(fmt.Sprintf("%s-%02d", typ, i), c.now)
 				m.Type, m.Zone, m.Fresh, m.Heard = typ, "a", true, c.now
 				m.SetType(c.types)
-				c.lead.fleet[m.Name] = m
+				c.lead.fleet.Add(m)
 			}
 		}
 		add(tc.small, "c")
@@ -144,7 +144,7 @@
 		c.lead.warm.at = 0
 		c.warmTick()
 		n := map[string]int{}
-		for _, m := range c.lead.fleet {
+		for _, m := range c.lead.fleet.All() {
 			if m.Warm != nil {
 				n[m.Type]++
 			}
