Room for urgent work in time for its aim; fetches of incomplete gangs end

Cause: a pivot stops lower work only if its start is further off than two reports and 3 s, and on a large fleet some machine with a task past its estimate always seems to come free by then. The gang's machine needed longer for the image than the others wait; each time the attempt broke its fetch was given up, and the image was taken to be there.

Change: for urgent jobs and those within a guarantee what they have waited counts, and room is made early enough to fetch the image and start within the class's objective. Tasks that still fetch when a gang is incomplete go on until they have the image; a fetch that is given up is no image. Open and placed tasks of a job are bitmaps, so that a round does not walk 100,000 tasks.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -237,8 +237,23 @@
 
 // Objective is an aim on the starts or ends of a class's jobs.
 type Objective struct {
-	Kind  string `json:"kind"`
-	Class string `json:"class"`
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+}
+
+// StartWithin is the shortest time within which tasks of a class should start,
+// 0 if nobody says so. A job within its team's guarantee has that one's too.
+func (p *Params) StartWithin(class string, guaranteed bool) Micros {
+	var least Micros
+	for _, o := range p.Objectives {
+		if o.Kind == "wait" && o.Class == class || o.Kind == "guarantee" && guaranteed {
+			if w := Secs(o.WithinS); w > 0 && (least == 0 || w < least) {
+				least = w
+			}
+		}
+	}
+	return least
 }
 
 // StartsCount says whether it matters to anybody when tasks of a class start,
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -105,3 +105,26 @@
 		t.Errorf("the example file: %+v, %v", o, err)
 	}
 }
+
+// TestStartWithin: the strictest aim counts, and that on guarantees only for
+// jobs that lie within theirs.
+func TestStartWithin(t *testing.T) {
+	aims := []Objective{{"wait", "fit", 150}, {"wait", "fit", 25}, {"finished", "fit", 5}, {"guarantee", "", 15}, {"wait", "scan", 200}}
+	cases := []struct {
+		class      string
+		guaranteed bool
+		want       Micros
+	}{
+		{"fit", false, 25 * Second},
+		{"fit", true, 15 * Second},
+		{"scan", false, 200 * Second},
+		{"other", false, 0},
+		{"other", true, 15 * Second},
+	}
+	for _, tc := range cases {
+		p := Params{Objectives: aims}
+		if got := p.StartWithin(tc.class, tc.guaranteed); got != tc.want {
+			t.Errorf("%s, %v: %d, want %d", tc.class, tc.guaranteed, got, tc.want)
+		}
+	}
+}
--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -284,6 +284,9 @@
 		}
 		t.Seen, t.Sent = true, true
 		c.progress(m, j, t, tr.State)
+		if j.Broken() && t.Stop == "" && (t.Phase != ledger.Fetching || c.now-t.Since > fetchesAtMost*j.FetchTime(m.FetchRate)) {
+			c.stop(j, i, stopGang, 0) // it was left to fetch its image
+		}
 		if j.Over != "" && t.Stop == "" {
 			t.Stop, t.StopAt = j.Over, c.now
 		}
@@ -310,7 +313,11 @@
 		p = ledger.Saving
 	}
 	if p != t.Phase {
-		m.Use(j.Image, j.ImageMB, c.now)
+		if p == ledger.Fetching {
+			m.Fetch(j.Image, j.ImageMB, c.now)
+		} else {
+			m.Use(j.Image, j.ImageMB, c.now)
+		}
 		j.SetPhase(t, p)
 		c.lead.planWanted = true
 	}
@@ -375,6 +382,10 @@
 	if t.Trial && stopped == stopTrial {
 		j.SetTried(c.now)
 	}
+	switch tr.Why {
+	case "done", "error", "alone":
+		m.Use(j.Image, j.ImageMB, c.now) // it had it
+	}
 	c.clear(j, i)
 	switch tr.Why {
 	case "done":
@@ -390,7 +401,7 @@
 		j.NotBefore = c.now + second
 	}
 	if j.Kind == ledger.Gang && j.Over == "" {
-		c.breakGang(j)
+		c.breakGang(j, tr.Why == "alone")
 	}
 }
 
@@ -399,13 +410,20 @@
 	c.log.Debug("attempt lost", "job", j.ID, "task", i, "machine", j.Task(i).Machine)
 	c.clear(j, i)
 	if j.Kind == ledger.Gang && j.Over == "" {
-		c.breakGang(j)
+		c.breakGang(j, false)
 	}
 }
 
+// fetchesAtMost is how many times as long as it should take the fetch of an
+// image may go on after its gang was given up.
+const fetchesAtMost = 4
+
 // breakGang ends what is left of a gang's attempt; the next one begins when
-// all of its tasks are gone.
-func (c *Core) breakGang(j *ledger.Job) {
+// all of its tasks are gone. If it was only incomplete for too long, those that
+// still fetch the image go on until they have it: stopped, they would begin
+// the fetch anew with the next attempt, which would be incomplete as well, and
+// so on for ever where a machine fetches slowly and the others have the image.
+func (c *Core) breakGang(j *ledger.Job, incomplete bool) {
 	if j.NumDone == j.Tasks {
 		return
 	}
@@ -414,7 +432,7 @@
 			c.clear(j, i)
 			return
 		}
-		if t.Stop == "" {
+		if t.Stop == "" && !(incomplete && t.Phase == ledger.Fetching) {
 			c.stop(j, i, stopGang, 0)
 		}
 	})
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -27,6 +27,7 @@
 	boundsWritten int64
 	boundsAt      int64 // when they were last looked at
 	boundsFlying  bool
+	hashes        []uint32 // of the machines that report, kept for its room
 	// known are the images that the last leader knew of, inherited its
 	// sources; hints is what this one has written.
 	known     map[string][]hintImage
@@ -482,6 +483,9 @@
 	t := j.Task(i)
 	if m := c.lead.fleet.Get(t.Machine); m != nil {
 		m.Drop(fleet.Ref{Job: j, Index: i})
+		if t.Phase == ledger.Fetching && !fetchesFor(m, j.Image) {
+			m.GiveUp(j.Image)
+		}
 		if len(m.Placed) == 0 {
 			m.IdleSince = c.now
 		}
@@ -491,6 +495,16 @@
 	c.lead.planWanted = true
 }
 
+// fetchesFor says whether a task on a machine waits for an image.
+func fetchesFor(m *fleet.Machine, image string) bool {
+	for ref := range m.Placed {
+		if ref.Job.Image == image && ref.Job.Task(ref.Index).Phase == ledger.Fetching {
+			return true
+		}
+	}
+	return false
+}
+
 // stop asks for an attempt to be stopped; grace 0 ends it at once.
 func (c *Core) stop(j *ledger.Job, i int, why string, grace int64) {
 	t := j.Task(i)
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -94,17 +94,35 @@
 }
 
 // Image is an image in a machine's cache: its size, and when it was last used.
-type Image struct{ MB, Used int64 }
+type Image struct {
+	MB, Used int64
+	// Coming: it is being fetched, and was not seen to be there.
+	Coming bool
+}
+
+// Use notes that the machine has an image for a task. Its cache keeps the most
+// recently used images.
+func (m *Machine) Use(image string, mb, now int64) { m.use(image, mb, now, false) }
+
+// Fetch notes that the machine fetches an image for a task.
+func (m *Machine) Fetch(image string, mb, now int64) { m.use(image, mb, now, true) }
+
+// GiveUp notes that no task on the machine waits for an image any more: unless
+// the machine had it all along the fetch is given up, and begins anew next time.
+func (m *Machine) GiveUp(image string) {
+	if m.Images[image].Coming {
+		m.Touch()
+		delete(m.Images, image)
+	}
+}
 
-// Use notes that the machine has, or fetches, an image for a task. Its cache
-// keeps the most recently used images.
-func (m *Machine) Use(image string, mb, now int64) {
+func (m *Machine) use(image string, mb, now int64, fetching bool) {
 	if image == "" {
 		return
 	}
 	m.Touch()
 	old, had := m.Images[image]
-	m.Images[image] = Image{max(mb, old.MB), now}
+	m.Images[image] = Image{max(mb, old.MB), now, fetching && (old.Coming || !had)}
 	if had || m.CacheMB <= 0 {
 		return
 	}
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -11,6 +11,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/RoaringBitmap/roaring/v2"
 )
 
 // ChunkTasks is how many tasks share one stored value in the first format of
@@ -217,6 +219,9 @@
 	Arrival uint64
 	Over    string
 	tasks   []Task
+	// open are the tasks that are neither done nor placed, placed those that
+	// are placed: a round must not walk 100,000 tasks to find a few.
+	open, placed *roaring.Bitmap
 	// chunks are of span tasks each; older are the stored values of larger
 	// spans, which hold for the tasks that no chunk has been stored of.
 	span   int
@@ -261,7 +266,10 @@
 
 // NewJob makes a job without progress.
 func NewJob(s *Spec) *Job {
-	return &Job{Spec: s, Rank: s.Priority, span: ChunkTasks, tasks: make([]Task, s.Tasks), chunks: make([]Chunk, (s.Tasks+ChunkTasks-1)/ChunkTasks)}
+	j := &Job{Spec: s, Rank: s.Priority, span: ChunkTasks, tasks: make([]Task, s.Tasks), chunks: make([]Chunk, (s.Tasks+ChunkTasks-1)/ChunkTasks),
+		open: roaring.New(), placed: roaring.New()}
+	j.open.AddRange(0, uint64(s.Tasks))
+	return j
 }
 
 // Waits says that the job waits for others to be done.
@@ -275,6 +283,11 @@
 	return &j.tasks[i]
 }
 
+// Broken says that some tasks of a gang's attempt are gone and others not.
+func (j *Job) Broken() bool {
+	return j.Kind == Gang && j.Over == "" && j.NumPlaced > 0 && j.Unplaced() > 0
+}
+
 // Chunks is the number of chunks.
 func (j *Job) Chunks() int { return len(j.chunks) }
 
@@ -288,24 +301,36 @@
 
 // NextUnplaced returns an unplaced task from index from on, or -1.
 func (j *Job) NextUnplaced(from int) int {
-	for i := from; i < len(j.tasks); i++ {
-		if t := &j.tasks[i]; !t.Done && t.Machine == "" {
-			return i
-		}
+	it := j.open.Iterator()
+	it.AdvanceIfNeeded(uint32(from))
+	if !it.HasNext() {
+		return -1
 	}
-	return -1
+	return int(it.Next())
 }
 
 // EachPlaced calls f for every placed task.
 func (j *Job) EachPlaced(f func(i int, t *Task)) {
-	if j.NumPlaced == 0 {
-		return
+	// f may clear what it is called for.
+	for _, i := range j.placed.ToArray() {
+		if t := &j.tasks[i]; t.Machine != "" {
+			f(int(i), t)
+		}
 	}
-	for i := range j.tasks {
-		if j.tasks[i].Machine != "" {
-			f(i, &j.tasks[i])
+}
+
+// sort enters task i where it belongs by what is known of it.
+func (j *Job) sort(i int) {
+	t := &j.tasks[i]
+	enter := func(b *roaring.Bitmap, in bool) {
+		if in {
+			b.Add(uint32(i))
+		} else {
+			b.Remove(uint32(i))
 		}
 	}
+	enter(j.placed, t.Machine != "")
+	enter(j.open, t.Machine == "" && !t.Done)
 }
 
 // NextAttempt is a number that no earlier attempt of any task had.
@@ -325,6 +350,7 @@
 	c.placing = true
 	c.attempt = max(c.attempt, attempt)
 	j.NumPlaced++
+	j.sort(i)
 }
 
 // Clear removes a placement; the caller has proof that the task is gone.
@@ -340,6 +366,7 @@
 		j.overlap--
 	}
 	*t = Task{Done: t.Done, Attempt: t.Attempt}
+	j.sort(i)
 }
 
 // SetDone marks a task complete.
@@ -353,6 +380,7 @@
 	if t.Machine != "" {
 		j.overlap++
 	}
+	j.sort(i)
 	j.touch(i, now)
 }
 
--- a/internal/core/ledger/ledger_test.go
+++ b/internal/core/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 )
 
@@ -77,3 +78,53 @@
 		t.Error("a chunk that the job does not have is accepted")
 	}
 }
+
+// TestOpen: whatever is done to a job's tasks, the sets of placed and of open
+// ones are what going through all tasks finds, also after its values are read.
+func TestOpen(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		j := NewJob(&Spec{ID: "j", Kind: Array, Tasks: 700})
+		for step := range 600 {
+			i := r.IntN(700)
+			switch r.IntN(5) {
+			case 0, 1:
+				if task := j.Task(i); task.Machine == "" && !task.Done {
+					j.Place(i, "m", j.NextAttempt(), 1)
+				}
+			case 2:
+				j.SetDone(i, 1)
+			case 3:
+				j.Clear(i, 1)
+			default:
+				e := Entry{Job: "j", Task: i, Done: r.IntN(2) == 0, Attempt: 9}
+				if r.IntN(2) == 0 {
+					e.Machine = "n"
+				}
+				j.Apply(&e, uint64(step), 1)
+			}
+			from := r.IntN(700)
+			want, placed := -1, 0
+			for k := 699; k >= 0; k-- {
+				task := j.Task(k)
+				if k >= from && task.Machine == "" && !task.Done {
+					want = k
+				}
+				if task.Machine != "" {
+					placed++
+				}
+			}
+			if got := j.NextUnplaced(from); got != want {
+				t.Fatalf("seed %d: the next open task from %d is %d, want %d", seed, from, got, want)
+			}
+			j.EachPlaced(func(_ int, task *Task) {
+				if task.Machine != "" {
+					placed--
+				}
+			})
+			if placed != 0 {
+				t.Fatalf("seed %d: %d placed tasks were left out", seed, placed)
+			}
+		}
+	}
+}
--- a/internal/core/ledger/log.go
+++ b/internal/core/ledger/log.go
@@ -138,6 +138,7 @@
 			j.overlap++
 		}
 	}
+	j.sort(i)
 }
 
 // Changes lists the entries for the tasks of chunk c that changed since it was
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -325,6 +325,7 @@
 		}
 		sj.OnGPUs = j.Need.GPU == 0 && !fleet.FitsWithoutGPUs(c.types, j.Spec)
 		sj.Late, sj.Turn = c.late(j), c.turn(j)
+		sj.RoomBy = c.roomBy(j, sj.Guaranteed)
 		if j.OneZone || j.Spread {
 			sj.ZoneOf = c.zonesOf(j)
 			if sj.ZoneOf == nil {
@@ -336,6 +337,26 @@
 	return jobs
 }
 
+// startMargin is how long a start takes besides the image: stopping what is in
+// the way, the write, the order and the report.
+const startMargin = 3 * second
+
+// roomBy is when a job needs its room to start as its class should, if its
+// image has to be fetched; 0 if nobody says when it should.
+func (c *Core) roomBy(j *ledger.Job, guaranteed bool) int64 {
+	within := c.set.StartWithin(j.Class, guaranteed)
+	if within == 0 {
+		return 0
+	}
+	var fetch int64
+	for i := range c.types {
+		if t := &c.types[i]; j.Need.Fits(t.Cap) && (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) {
+			fetch = max(fetch, j.FetchTime(t.FetchRate))
+		}
+	}
+	return j.Known + within - fetch - startMargin
+}
+
 // inheritPriorities treats jobs as those that need them: a job in front of an
 // urgent one holds it up.
 func (c *Core) inheritPriorities() {
@@ -515,12 +536,13 @@
 	}
 	l.boundsAt = c.now
 	// A machine counts while it reports: the interval is the settings'.
-	var hashes []uint32
+	hashes := l.hashes[:0]
 	for _, m := range l.fleet.All() {
 		if m.Heard != 0 && c.now-m.Heard < 10*second+2*config.Secs(c.set.Workers.ReportS) {
 			hashes = append(hashes, m.Hash)
 		}
 	}
+	l.hashes = hashes
 	b := fleet.Bounds{Cuts: c.bounds.Cuts, Holders: c.holders(), Term: c.set.Ops.Term, Token: l.token, Seq: l.boundsSeq + 1}
 	if len(b.Cuts) != queues-1 || c.unequal(hashes) {
 		b.Cuts = fleet.Cut(hashes, queues)
--- a/internal/core/sched/recorded_test.go
+++ b/internal/core/sched/recorded_test.go
@@ -77,6 +77,7 @@
 	for i := range 1 + r.IntN(40) {
 		sp := spec(fmt.Sprintf("job-%02d", i))
 		j := ledger.NewJob(sp)
+		j.Known = p.Now // it has not waited yet, which the recorded plans did not ask
 		j.Rank, j.Arrival = min(sp.Priority+r.IntN(2), 3), uint64(i)
 		if r.IntN(4) == 0 {
 			j.LastEnd = p.Now + int64(r.IntN(500))*s
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -85,6 +85,8 @@
 	Turn int64
 	// ZoneOf are the zones of its placed tasks, with their number.
 	ZoneOf map[string]int
+	// RoomBy is when it needs its room to start in time, 0 for no such time.
+	RoomBy int64
 	// deferred: better room is being made for it than there is.
 	deferred bool
 	// next and planned: the search for unplaced tasks, and how many found
@@ -651,7 +653,7 @@
 func (p *Planner) preempt() {
 	for _, pv := range p.plan.Pivots {
 		j := pv.Job
-		if pv.At != 0 && pv.At-p.Now <= p.Patience {
+		if pv.At != 0 && pv.At-p.Now <= p.patience(j) {
 			continue
 		}
 		n := 1
@@ -715,6 +717,25 @@
 	}
 }
 
+// patience is how far off a pivot's start may be before lower work is stopped
+// for it: not so far that it would start too late. What it has waited already
+// counts: tasks past their estimates are
+// taken to end soon, again and again, so that of many such machines some always
+// seem about to come free.
+func (p *Planner) patience(j *Job) int64 {
+	if j.Rank < ledger.Urgent && !j.Guaranteed {
+		return p.Patience
+	}
+	left := p.Patience - (p.Now - j.Known)
+	if j.RoomBy != 0 {
+		left = min(left, j.RoomBy-p.Now)
+	}
+	return max(imminent, left)
+}
+
+// imminent is how far off a start may be for which stopping work is no use.
+const imminent = 2_000_000
+
 // victims finds what to stop on m for one task of j.
 func (p *Planner) victims(j *Job, m *Machine) (stops []Run, lost int64, ok bool) {
 	free := m.Free
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -111,6 +111,20 @@
 			jobs: []*Job{arrive(1, job("u", 0, 2, ledger.Array, 1, 8, 100))}, want: []string{"u@m0"}},
 		{name: "nor one that goes before it", claims: []string{"low@m0"}, machines: []*Machine{box("m0", 0)},
 			jobs: []*Job{arrive(1, job("u", 0, 2, ledger.Array, 1, 8, 100)), arrive(2, job("low", 0, 0, ledger.Array, 1, 8, 100))}, want: []string{"u@m0"}, pivots: "low:100"},
+		// On a large fleet some machine always seems to come free within the
+		// patience, as a task past its estimate is taken to end soon.
+		{name: "a pivot whose start is near lets lower work run out", machines: []*Machine{box("m0", 0, 8, 40)},
+			jobs: []*Job{job("u", 0, 2, ledger.Array, 1, 8, 10)}, pivots: "u:40"},
+		{name: "unless it has waited for most of the patience", machines: []*Machine{box("m0", 0, 8, 40)},
+			jobs: []*Job{since(-30, job("u", 0, 2, ledger.Array, 1, 8, 10))}, pivots: "u:40", stops: 1},
+		{name: "or would start too late for its class", machines: []*Machine{box("m0", 0, 8, 40)},
+			jobs: []*Job{roomBy(39, job("u", 0, 2, ledger.Array, 1, 8, 10))}, pivots: "u:40", stops: 1},
+		{name: "which a later aim does not change", machines: []*Machine{box("m0", 0, 8, 40)},
+			jobs: []*Job{roomBy(40, job("u", 0, 2, ledger.Array, 1, 8, 10))}, pivots: "u:40"},
+		{name: "an imminent start is waited for", machines: []*Machine{box("m0", 0, 8, 2)},
+			jobs: []*Job{since(-90, roomBy(1, job("u", 0, 2, ledger.Array, 1, 8, 10)))}, pivots: "u:2"},
+		{name: "what is neither urgent nor within a guarantee waits the whole patience", machines: []*Machine{box("m0", 0, 8, 40)},
+			jobs: []*Job{since(-90, roomBy(1, job("n", 0, 1, ledger.Array, 1, 8, 10)))}, pivots: "n:40"},
 		{name: "equal work is not", machines: []*Machine{box("m0", 0, 8, 500)},
 			jobs: []*Job{job("eq", 0, 0, ledger.Array, 1, 8, 10)}, pivots: "eq:500"},
 	}
@@ -158,6 +172,8 @@
 func within(j *Job) *Job                 { j.Guaranteed = true; return j }
 func guarded(m *Machine) *Machine        { m.Runs[0].Guaranteed = true; return m }
 func turn(n int64, j *Job) *Job          { j.Turn = n; return j }
+func since(n int64, j *Job) *Job         { j.Known = n * s; return j }
+func roomBy(n int64, j *Job) *Job        { j.RoomBy = n * s; return j }
 func late(j *Job) *Job                   { j.Late = true; return j }
 func oneZone(j *Job) *Job                { j.OneZone = true; return j }
 func other(j *Job) *Job                  { j.Team = "other"; return j }
