Of jobs with deadlines those with little work go first

Change: a job's turn comes later by ten times the time that the whole fleet would need for what is left of it.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -27,7 +27,9 @@
 	boundsWritten int64
 	boundsAt      int64 // when they were last looked at
 	boundsFlying  bool
-	hashes        []uint32 // of the machines that report, kept for its room
+	// capacity is what all usable machines have together.
+	capacity ledger.Vec
+	hashes   []uint32 // of the machines that report, kept for its room
 	// known are the images that the last leader knew of, inherited its
 	// sources; hints is what this one has written.
 	known     map[string][]hintImage
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -90,6 +90,7 @@
 	unfinished := c.unfinished()
 	guaranteed := c.guaranteed(unfinished)
 	machines := c.refresh()
+	l.capacity = machines.Capacity()
 	jobs := c.schedJobs(unfinished, used, guaranteed)
 	report := config.Secs(c.set.Workers.ReportS)
 	p := sched.Planner{Now: c.now, Queues: queues, Index: machines, Worth: c.imageWorth(), Budget: planTasks, Patience: 2*report + 3*second,
@@ -374,12 +375,35 @@
 	return most
 }
 
-// turn is when a job came or, with a deadline, its latest start.
+// turn is when a job came or, with a deadline, its latest start, later by how
+// much the job would hold up others.
 func (c *Core) turn(j *ledger.Job) int64 {
-	if j.LastEnd > 0 {
+	switch {
+	case j.LastEnd == 0:
+		return j.Known
+	case len(j.Awaits) > 0 || c.graph.Behind(j):
+		// A stage of a pipeline: its deadline is all of its stages'.
 		return max(j.Born, j.LastEnd-j.Estimate)
 	}
-	return j.Known
+	return max(j.Born, j.LastEnd-j.Estimate) + shortFirst*c.share(j)
+}
+
+// shortFirst is how many times the time that the whole fleet needs for a job
+// its turn comes later by: of jobs that can't all be in time those with little
+// work go first, as they keep the others waiting for the least.
+const shortFirst = 10
+
+// share is how long all machines together would work on what is left of a job.
+func (c *Core) share(j *ledger.Job) int64 {
+	all, left := c.lead.capacity, int64(j.Tasks-j.NumDone)
+	need, of := left*j.Need.CPU, all.CPU
+	if j.Need.GPU > 0 {
+		need, of = left*j.Need.GPU, all.GPU
+	}
+	if of <= 0 {
+		return 0
+	}
+	return int64(float64(need) / float64(of) * float64(j.Estimate))
 }
 
 // ordinaryFor is how long a job that may use ordinary machines only keeps
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -170,6 +170,42 @@
 	}
 }
 
+// TestTurn: a job with a deadline has its turn by its latest start and by how
+// long it would hold up the others; one without by when it came.
+func TestTurn(t *testing.T) {
+	r := newRig(t)
+	r.c.lead.capacity = ledger.Vec{CPU: 100_000, GPU: 10_000}
+	cases := []struct {
+		name           string
+		tasks, done    int
+		need           ledger.Vec
+		deadline, want int64 // in seconds
+		awaits         []string
+	}{
+		{"no deadline", 100, 0, ledger.Vec{CPU: 1000}, 0, 10, nil},
+		{"a small one", 1, 0, ledger.Vec{CPU: 1000}, 200, 10 + 200 - 50 + 10*50/100, nil},
+		{"a hundred tasks on a hundred CPUs", 100, 0, ledger.Vec{CPU: 1000}, 200, 10 + 200 - 50 + 10*50, nil},
+		{"half of it done", 100, 50, ledger.Vec{CPU: 1000}, 200, 10 + 200 - 50 + 10*25, nil},
+		{"by GPUs where it needs any", 1, 0, ledger.Vec{CPU: 1000, GPU: 1000}, 200, 10 + 200 - 50 + 10*5, nil},
+		{"a deadline that is lost", 1, 0, ledger.Vec{CPU: 1000, GPU: 1000}, 20, 10 + 10*5, nil},
+		// A stage that stood back missed the deadline of its whole pipeline.
+		{"a stage of a pipeline", 100, 0, ledger.Vec{CPU: 1000}, 200, 10 + 200 - 50, []string{"a"}},
+	}
+	for _, tc := range cases {
+		j := ledger.NewJob(&ledger.Spec{ID: "x", Kind: ledger.Array, Tasks: tc.tasks, Need: tc.need, Estimate: 50 * second, Awaits: tc.awaits})
+		j.Born, j.Known = 10*second, 10*second
+		if tc.deadline > 0 {
+			j.LastEnd = j.Born + tc.deadline*second
+		}
+		for i := range tc.done {
+			j.SetDone(i, 1)
+		}
+		if got := r.c.turn(j); got != tc.want*second {
+			t.Errorf("%s: %d s, want %d", tc.name, got/second, tc.want)
+		}
+	}
+}
+
 // TestGangRestart: what happens to one task of a gang happens to the attempt,
 // and the next one begins only when all of it is gone.
 func TestGangRestart(t *testing.T) {
--- a/internal/core/sched/index.go
+++ b/internal/core/sched/index.go
@@ -73,6 +73,15 @@
 // Len is how many machines there are.
 func (x *Index) Len() int { return len(x.byName) }
 
+// Capacity is what all machines have together.
+func (x *Index) Capacity() ledger.Vec {
+	var all ledger.Vec
+	for _, g := range x.groups {
+		all = all.Add(g.Cap.Times(int64(g.free.Len())))
+	}
+	return all
+}
+
 // Find returns a machine, or nil.
 func (x *Index) Find(name string) *Machine { return x.byName[name] }
 
