--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -1,11 +1,11 @@
 package core
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -625,11 +625,15 @@
 		return
 	}
 	l.sweepsAt = c.now
-	for _, id := range slices.Sorted(maps.Keys(c.sweeps)) {
-		s := c.sweeps[id]
-		if s.stamp == 0 || s.closed || s.flying || s.broken != "" || c.now < s.notBefore {
-			continue
+	var ready []*sweep
+	for _, s := range c.sweeps {
+		if s.stamp != 0 && !s.closed && !s.flying && s.broken == "" && c.now >= s.notBefore {
+			ready = append(ready, s)
 		}
+	}
+	// The first to be accepted goes first.
+	slices.SortFunc(ready, func(a, b *sweep) int { return cmp.Or(cmp.Compare(a.stamp, b.stamp), cmp.Compare(a.id, b.id)) })
+	for _, s := range ready {
 		if s.plan == nil {
 			c.needPlan(s)
 			continue
