--- a/internal/testbed/day_test.go
+++ b/internal/testbed/day_test.go
@@ -201,6 +201,13 @@
 		{name: "answers are lost and requests executed late", loss: 0.05, faults: []Fault{{At: 100 * second, Kind: "crash", Who: 1}}},
 		{name: "machines go silent and die", faults: []Fault{{At: 40 * second, For: 12 * second, Kind: "silent", Who: 0},
 			{At: 60 * second, For: 40 * second, Kind: "silent", Who: 1}, {At: 80 * second, Kind: "die", Who: 2}, {At: 82 * second, Kind: "crash", Who: -1}}},
+		{name: "a third hangs for half a lease while a new leader begins", faults: []Fault{{At: 60 * second, Kind: "crash", Who: 0}, {At: 60 * second, Kind: "crash", Who: 1},
+			{At: 61 * second, For: 8 * second, Kind: "silent", Who: 0}, {At: 61 * second, For: 8 * second, Kind: "silent", Who: 3}, {At: 61 * second, For: 8 * second, Kind: "silent", Who: 6}}},
+		{name: "a third dies as all controllers end", faults: []Fault{{At: 70 * second, Kind: "die", Who: 1}, {At: 70 * second, Kind: "die", Who: 4},
+			{At: 70 * second, Kind: "die", Who: 7}, {At: 71 * second, Kind: "crash", Who: -1}}},
+		{name: "a controller is cut off with a third of the machines, and another crashes", faults: []Fault{{At: 60 * second, For: 35 * second, Kind: "cut", Who: 0},
+			{At: 60 * second, For: 35 * second, Kind: "silent", Who: 0}, {At: 60 * second, For: 35 * second, Kind: "silent", Who: 2}, {At: 60 * second, For: 35 * second, Kind: "silent", Who: 5},
+			{At: 63 * second, Kind: "crash", Who: 1}}},
 		{name: "silent machines in a cloud outage", faults: []Fault{{At: 40 * second, For: 100 * second, Kind: "cloud"},
 			{At: 60 * second, For: 30 * second, Kind: "silent", Who: 1}, {At: 70 * second, For: 50 * second, Kind: "silent", Who: 3}}},
 	}
