--- a/cmd/zinclb/sweep.go
+++ b/cmd/zinclb/sweep.go
@@ -78,25 +78,7 @@
 	}
 }
 
-// answers of the service, as docs/sweeps.md has them.
-type sweepState struct {
-	ID        string `json:"id"`
-	Status    string `json:"status"`
-	Runs      int    `json:"runs"`
-	Created   int    `json:"created"`
-	Done      int    `json:"done"`
-	Withdrawn int    `json:"withdrawn"`
-}
-
-type sweepRun struct {
-	Run    int             `json:"run"`
-	ID     string          `json:"name_id"`
-	Status string          `json:"status,omitempty"`
-	Values json.RawMessage `json:"values"`
-	Sets   []int           `json:"sets,omitempty"`
-}
-
-func printRuns(w io.Writer, output string, runs []sweepRun, head bool) error {
+func printRuns(w io.Writer, output string, runs []api.RunAnswer, head bool) error {
 	if output == "json" {
 		for _, r := range runs {
 			b, err := json.Marshal(r)
@@ -129,12 +111,9 @@
 			if err != nil {
 				return err
 			}
-			runs := make([]sweepRun, len(plan.Specs))
+			runs := make([]api.RunAnswer, len(plan.Specs))
 			for i, s := range plan.Specs {
-				runs[i] = sweepRun{Run: i, ID: s.ID, Values: plan.Values[i], Status: core.RunPlanned}
-				if len(plan.Sets[i]) > 1 {
-					runs[i].Sets = plan.Sets[i]
-				}
+				runs[i] = api.WireRun(core.SweepRun{Number: i, ID: s.ID, State: core.RunPlanned, Values: plan.Values[i], Sets: plan.Sets[i]})
 			}
 			return printRuns(cmd.OutOrStdout(), *output, runs, true)
 		},
@@ -187,7 +166,7 @@
 // retryFor is how long a command goes on asking a service that does not answer.
 const retryFor = 60 * time.Second
 
-func printState(w io.Writer, output string, s sweepState) error {
+func printState(w io.Writer, output string, s api.SweepAnswer) error {
 	if output == "json" {
 		b, err := json.Marshal(s)
 		if err != nil {
@@ -216,7 +195,7 @@
 		if len(body) > api.MaxBody {
 			return fmt.Errorf("%s: %d bytes with its values, and %d can be sent", args[0], len(body), api.MaxBody)
 		}
-		var st sweepState
+		var st api.SweepAnswer
 		if err := patiently(retryFor, func() (time.Duration, error) { return request(*addr, "POST", "/sweeps", body, &st) }); err != nil {
 			return err
 		}
@@ -248,7 +227,7 @@
 		if !sweep.ValidID(args[0]) {
 			return fmt.Errorf("%q is no id of a sweep", args[0])
 		}
-		var st sweepState
+		var st api.SweepAnswer
 		var body []byte
 		if method == "POST" {
 			body = []byte("{}")
@@ -278,10 +257,7 @@
 		}
 		after := 0
 		for first := true; ; first = false {
-			var page struct {
-				Runs []sweepRun `json:"runs"`
-				Next int        `json:"next"`
-			}
+			var page api.RunsAnswer
 			path := fmt.Sprintf("/sweeps/%s/runs?after=%d&most=200", args[0], after)
 			if err := patiently(retryFor, func() (time.Duration, error) { return request(*addr, "GET", path, nil, &page) }); err != nil {
 				return err
--- a/internal/api/sweeps.go
+++ b/internal/api/sweeps.go
@@ -116,7 +116,8 @@
 	return m, err
 }
 
-type sweepAnswer struct {
+// SweepAnswer is the wire form of a sweep's state.
+type SweepAnswer struct {
 	ID        string `json:"id"`
 	Status    string `json:"status"`
 	Runs      int    `json:"runs"`
@@ -125,7 +126,8 @@
 	Withdrawn int    `json:"withdrawn"`
 }
 
-type runAnswer struct {
+// RunAnswer is the wire form of a run.
+type RunAnswer struct {
 	Run    int             `json:"run"`
 	ID     string          `json:"name_id"`
 	Status string          `json:"status"`
@@ -134,8 +136,9 @@
 	Sets []int `json:"sets,omitempty"`
 }
 
-type runsAnswer struct {
-	Runs []runAnswer `json:"runs"`
+// RunsAnswer is that of a page of runs.
+type RunsAnswer struct {
+	Runs []RunAnswer `json:"runs"`
 	// Next is the number to ask for next, absent at the end.
 	Next int `json:"next,omitempty"`
 }
@@ -149,19 +152,24 @@
 
 func encodeSweep(r core.Reply) any {
 	if s := r.Sweep; s != nil {
-		return sweepAnswer{s.ID, jobStates[s.State], s.Runs, s.Created, s.Done, s.Withdrawn}
+		return SweepAnswer{s.ID, jobStates[s.State], s.Runs, s.Created, s.Done, s.Withdrawn}
 	}
-	out := runsAnswer{Runs: []runAnswer{}, Next: r.Runs.Next}
+	out := RunsAnswer{Runs: []RunAnswer{}, Next: r.Runs.Next}
 	for _, x := range r.Runs.Runs {
-		a := runAnswer{x.Number, x.ID, runState(x.State), x.Values, nil}
-		if len(x.Sets) > 1 {
-			a.Sets = x.Sets
-		}
-		out.Runs = append(out.Runs, a)
+		out.Runs = append(out.Runs, WireRun(x))
 	}
 	return out
 }
 
+// WireRun makes the wire form of a run.
+func WireRun(x core.SweepRun) RunAnswer {
+	a := RunAnswer{x.Number, x.ID, runState(x.State), x.Values, nil}
+	if len(x.Sets) > 1 {
+		a.Sets = x.Sets
+	}
+	return a
+}
+
 // routeSweeps makes the messages of the calls about sweeps that exist.
 func routeSweeps(path, query, method string) (build func(uint64) any, allow string, err error) {
 	id, verb, _ := strings.Cut(strings.TrimPrefix(path, "/sweeps/"), "/")
--- a/internal/core/recall.go
+++ b/internal/core/recall.go
@@ -23,7 +23,7 @@
 const (
 	recallJobs     = 4
 	recallImages   = 16
-	recallMachines = 5000
+	recallMachines = 20_000
 )
 
 func newRecall() recall {
--- a/internal/sweep/expand.go
+++ b/internal/sweep/expand.go
@@ -41,6 +41,7 @@
 	Pending       int
 	// Digest names the whole: the same only for the same runs in one order.
 	Digest string
+	steps  uint64 // left to the expressions
 }
 
 // Set says a run's values in words.
@@ -114,8 +115,11 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &Expansion{ID: s.Id, Names: names, Pending: Pending(s)}
+	x := &Expansion{ID: s.Id, Names: names, Pending: Pending(s), steps: maxAll}
 	var skips []*expr
+	if len(s.SkipIf) > maxSkips {
+		return nil, fmt.Errorf("skip_if: %d of them, at most %d are possible", len(s.SkipIf), maxSkips)
+	}
 	for i, text := range s.SkipIf {
 		e, err := compile(fmt.Sprintf("skip_if %d", i+1), text, names)
 		if err != nil {
@@ -266,7 +270,7 @@
 
 func (x *Expansion) skipped(skips []*expr, vals []Value) (bool, error) {
 	for _, e := range skips {
-		v, err := e.eval(x.Names, vals, func(map[string]Value) (string, error) { return "", errors.New("run: not in skip_if") })
+		v, err := e.eval(x.Names, vals, &x.steps, func(map[string]Value) (string, error) { return "", errors.New("run: not in skip_if") })
 		b, ok := v.(bool)
 		if err == nil && !ok {
 			err = fmt.Errorf("%s: %v is neither True nor False", e.where, v)
@@ -342,7 +346,7 @@
 		return id, nil
 	}
 	for _, f := range fields {
-		v, err := f.expr.eval(x.Names, r.Values, runID)
+		v, err := f.expr.eval(x.Names, r.Values, &x.steps, runID)
 		if err != nil {
 			return err
 		}
--- a/internal/sweep/expr.go
+++ b/internal/sweep/expr.go
@@ -16,7 +16,8 @@
 const (
 	maxExpr  = 2000 // bytes
 	maxSteps = 20_000
-	maxGrown = 64 << 10 // bytes or items that a product of text or list may have
+	maxAll   = 10_000_000 // steps of all expressions for all runs
+	maxGrown = 64 << 10   // bytes or items that a product of text or list may have
 )
 
 var (
@@ -27,9 +28,12 @@
 // expr is an expression that was found to be harmless.
 type expr struct {
 	where string
-	tree  syntax.Expr
+	// program puts the value of the expression into the global named result.
+	program *starlark.Program
 }
 
+const result = "__result"
+
 var dialect = &syntax.FileOptions{}
 
 // compile reads an expression over the names of parameters.
@@ -91,7 +95,15 @@
 	if bad != nil {
 		return fail(bad)
 	}
-	return &expr{where, checked(tree)}, nil
+	file := &syntax.File{Path: where, Options: dialect, Stmts: []syntax.Stmt{
+		&syntax.AssignStmt{Op: syntax.EQ, LHS: &syntax.Ident{Name: result}, RHS: checked(tree)}}}
+	program, err := starlark.FileProgram(file, func(name string) bool {
+		return name == product || slices.Contains(builtins, name) || slices.Contains(names, name)
+	})
+	if err != nil {
+		return fail(err)
+	}
+	return &expr{where, program}, nil
 }
 
 // product is the name under which products are evaluated.
@@ -182,7 +194,8 @@
 }
 
 // eval evaluates with a run's values; runID names runs of the same sweep.
-func (e *expr) eval(names []string, vals []Value, runID func(kw map[string]Value) (string, error)) (any, error) {
+// left is how many steps are left to all expressions.
+func (e *expr) eval(names []string, vals []Value, left *uint64, runID func(kw map[string]Value) (string, error)) (any, error) {
 	fail := func(err error) (any, error) { return nil, fmt.Errorf("%s: %w", e.where, err) }
 	env := starlark.StringDict{
 		product: starlark.NewBuiltin(product, productOf),
@@ -236,11 +249,22 @@
 	}
 	thread := &starlark.Thread{Name: e.where, Print: func(*starlark.Thread, string) {}}
 	thread.SetMaxExecutionSteps(maxSteps)
-	v, err := starlark.EvalExprOptions(dialect, thread, e.tree, env)
+	for _, name := range builtins {
+		if v := starlark.Universe[name]; v != nil && env[name] == nil {
+			env[name] = v
+		}
+	}
+	globals, err := e.program.Init(thread, env)
 	if err != nil {
 		return fail(err)
 	}
-	out, err := fromStarlark(v)
+	// A call of a builtin is a step, and so is each of the operations.
+	steps := thread.ExecutionSteps() + 1
+	if steps > *left {
+		return fail(fmt.Errorf("all expressions together take more than %d steps", maxAll))
+	}
+	*left -= steps
+	out, err := fromStarlark(globals[result])
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/sweep/sweep.go
+++ b/internal/sweep/sweep.go
@@ -26,6 +26,7 @@
 	MaxRuns       = 10_000
 	MaxParameters = 32
 	MaxText       = 1024 // bytes of a text value
+	maxSkips      = 32
 	maxPending    = 1000
 	stdPending    = 100
 )
--- a/internal/sweep/sweep_test.go
+++ b/internal/sweep/sweep_test.go
@@ -159,6 +159,7 @@
 		{"expect_s", `float("inf")`, "", "not a number"},
 		{"hands", strings.Repeat("n+", 1001) + "n", "", "more than 2000 bytes"},
 		{"hands", strings.Repeat("(", 900) + "n" + strings.Repeat(")", 900), "", "excessive nesting"},
+		{"hands", "__product(n, n)", "", "which is no parameter"},
 		{"hands", "min(*[1, 2])", "", "an unpacked argument"},
 		{"hands", "{}[name]", "", "set hands"},
 		{"awaits", `[run_of("other", n=1)]`, "[" + RunID("other", []string{"n"}, []Value{int64(1)}) + "]", ""},
@@ -182,6 +183,21 @@
 	}
 }
 
+// TestTogether: expressions that are harmless one by one are bounded together.
+func TestTogether(t *testing.T) {
+	big := strings.Repeat("a+", 900) + "a"
+	text := `id: "s" job { herd: "h" } parameter { name: "a" range { from: 1 to: 100 } } parameter { name: "b" range { from: 1 to: 100 } }`
+	for _, f := range []string{"hands", "vcpus", "expect_s"} {
+		text += fmt.Sprintf(` set { field: %q is: %q }`, f, big)
+	}
+	if _, err := expand(text, nil); err == nil || !strings.Contains(err.Error(), "all expressions together") {
+		t.Errorf("got %v", err)
+	}
+	if _, err := expand(`id: "s" job { herd: "h" } parameter { name: "a" value { int: 1 } }`+strings.Repeat(` skip_if: "a > 1"`, 33), nil); err == nil || !strings.Contains(err.Error(), "skip_if: 33 of them") {
+		t.Errorf("got %v", err)
+	}
+}
+
 // TestLargest: 10,000 runs expand, all to ids of their own, and the same again.
 func TestLargest(t *testing.T) {
 	text := `id: "s" job { herd: "h" } set { field: "hands" is: "a % 7 + 1" } parameter { name: "a" range { from: 1 to: 100 } } parameter { name: "b" range { from: 1 to: 100 } }`
