--- a/internal/testbed/sweep_test.go
+++ b/internal/testbed/sweep_test.go
@@ -41,7 +41,7 @@
 		if begin != nil {
 			begin(c)
 		}
-		c.at(d.Length-20*second, func() {
+		c.at(d.Length-max(20*second, d.Length/10), func() {
 			for _, n := range c.nodes {
 				for _, u := range c.sweeps {
 					n.pages(u.sub.Plan.ID, func(r []core.SweepRun) { listed = append(listed, r) })
@@ -120,6 +120,23 @@
 	}
 }
 
+// TestSweepLargest plays 10,000 runs under the tightest limits, through three
+// crashes: values of 2 KiB, four changes a transaction, 18 a second.
+func TestSweepLargest(t *testing.T) {
+	pairs, length := 5000, int64(4500)
+	if raceEnabled || testing.Short() {
+		pairs, length = 300, 700 // it is the same code, many times as slow
+	}
+	d := sweeping(11, Sweep{At: 12 * second, Run: 2 * second, Times: 3, Text: forecast("tight", pairs, 2, 100)})
+	tighten(&d)
+	d.Machines, d.Length = 30, length*second
+	d.Faults = []Fault{{At: 20 * second, Kind: "limits"}, {At: 90 * second, Kind: "crash", Who: -1}, {At: 120 * second, Kind: "crash", Who: 0}, {At: 150 * second, Kind: "crash", Who: -1}}
+	c := accountFor(t, d, nil)
+	if c.sweeps[0].over != ledger.Done || c.state.Malformed > 3 {
+		t.Errorf("it is %q, and %d transactions went beyond the limits", c.sweeps[0].over, c.state.Malformed)
+	}
+}
+
 // TestSweepBoundaries cancels a sweep, and ends all controllers, after each
 // transaction that has to do with it.
 func TestSweepBoundaries(t *testing.T) {
