--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -20,7 +20,7 @@
 	formatSweeps = 3
 )
 
-// Version is what this controller can read and is to write.
+// version is what this controller can read and is to write.
 func (c *Core) version() int {
 	if c.set.Ops.Sweeps {
 		return formatSweeps
--- a/internal/core/sched/index.go
+++ b/internal/core/sched/index.go
@@ -206,17 +206,6 @@
 	}
 }
 
-// Having counts the machines that have an image and satisfy keep.
-func (x *Index) Having(name string, keep func(*Machine) bool) int {
-	n := 0
-	x.with(name, func(m *Machine) {
-		if keep(m) {
-			n++
-		}
-	})
-	return n
-}
-
 // Machine is a machine that tasks may be placed on now. Its exported fields are
 // set by the owner, who then calls Index.Put.
 type Machine struct {
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -177,7 +177,7 @@
 	return s
 }
 
-// known finds an accepted sweep, or nil.
+// knownSweep finds an accepted sweep, or nil.
 func (c *Core) knownSweep(id string) *sweep {
 	if s := c.sweeps[id]; s != nil && s.stamp != 0 {
 		return s
@@ -489,11 +489,7 @@
 			c.sweepTold(a.id)
 			c.wait(a) // what was done before is told from a view
 		case 409:
-			if a.tries++; a.tries > 4 {
-				c.refuse(a)
-				return
-			}
-			c.wait(a)
+			c.overtaken(a)
 		default:
 			c.again(a)
 		}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -367,17 +367,23 @@
 			c.noteEnd(a.id, e)
 			c.answerEnd(a.req, a.id, e)
 		case 409:
-			if a.tries++; a.tries > 4 {
-				c.refuse(a)
-				return
-			}
-			c.wait(a)
+			c.overtaken(a)
 		default:
 			c.again(a)
 		}
 	})
 }
 
+// overtaken goes on with a cancellation whose conditions did not hold, from what
+// is stored by now.
+func (c *Core) overtaken(a *ask) {
+	if a.tries++; a.tries > 4 {
+		c.refuse(a)
+		return
+	}
+	c.wait(a)
+}
+
 // end makes the stored end of a job.
 func (c *Core) end(outcome string, j *ledger.Job) ledger.End {
 	e := ledger.End{Outcome: outcome, Tasks: j.Tasks}
