--- /dev/null
+++ b/cmd/zinclb/sweep.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinclb/zinclb/internal/api"
+	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/httpwire"
+	"github.com/zinclb/zinclb/internal/sweep"
+	"github.com/zinclb/zinclb/internal/sweep/sweeppb"
+)
+
+// sweepCommands are those of docs/sweeps.md.
+func sweepCommands() *cobra.Command {
+	cmd := &cobra.Command{Use: "sweep", Short: "One job for many sets of values: check, expand, submit and follow"}
+	output := cmd.PersistentFlags().String("output", "table", "table for people, json for programs")
+	cmd.PersistentPreRunE = func(*cobra.Command, []string) error {
+		if *output != "table" && *output != "json" {
+			return fmt.Errorf("--output: %q is neither table nor json", *output)
+		}
+		return nil
+	}
+	cmd.AddCommand(sweepCheck(), sweepExpand(output), sweepSubmit(output), sweepStatus(output), sweepRuns(output), sweepCancel(output))
+	return cmd
+}
+
+// readSweep reads a sweep file, and the files that it names from beside it.
+func readSweep(path string) (*sweeppb.Sweep, *core.SweepPlan, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := sweep.Parse(b)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	err = sweep.Resolve(s, func(name string) ([]byte, error) {
+		if !filepath.IsLocal(name) {
+			return nil, errors.New("not a file beside the sweep's")
+		}
+		return os.ReadFile(filepath.Join(filepath.Dir(path), name))
+	})
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	plan, err := api.ExpandSweep(s)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, plan, nil
+}
+
+func sweepCheck() *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE", Short: "Says whether a sweep file is good, and how many runs it has", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, plan, err := readSweep(args[0])
+			if err != nil {
+				return err
+			}
+			stored, err := api.PackSweep(s)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %d runs, %d at once, %d bytes to be stored, digest %s\n", plan.ID, len(plan.Specs), plan.Pending, len(stored), plan.Digest)
+			return nil
+		},
+	}
+}
+
+// answers of the service, as docs/sweeps.md has them.
+type sweepState struct {
+	ID        string `json:"id"`
+	Status    string `json:"status"`
+	Runs      int    `json:"runs"`
+	Created   int    `json:"created"`
+	Done      int    `json:"done"`
+	Withdrawn int    `json:"withdrawn"`
+}
+
+type sweepRun struct {
+	Run    int             `json:"run"`
+	ID     string          `json:"name_id"`
+	Status string          `json:"status,omitempty"`
+	Values json.RawMessage `json:"values"`
+	Sets   []int           `json:"sets,omitempty"`
+}
+
+func printRuns(w io.Writer, output string, runs []sweepRun, head bool) error {
+	if output == "json" {
+		for _, r := range runs {
+			b, err := json.Marshal(r)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(w, "%s\n", b)
+		}
+		return nil
+	}
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	if head {
+		fmt.Fprintln(t, "RUN\tSTATUS\tJOB\tVALUES")
+	}
+	for _, r := range runs {
+		merged := ""
+		if len(r.Sets) > 1 {
+			merged = fmt.Sprint(" sets ", r.Sets)
+		}
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s%s\n", r.Run, r.Status, r.ID, r.Values, merged)
+	}
+	return t.Flush()
+}
+
+func sweepExpand(output *string) *cobra.Command {
+	return &cobra.Command{
+		Use: "expand FILE", Short: "Prints the runs of a sweep file, and submits nothing", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, plan, err := readSweep(args[0])
+			if err != nil {
+				return err
+			}
+			runs := make([]sweepRun, len(plan.Specs))
+			for i, s := range plan.Specs {
+				runs[i] = sweepRun{Run: i, ID: s.ID, Values: plan.Values[i], Status: core.RunPlanned}
+				if len(plan.Sets[i]) > 1 {
+					runs[i].Sets = plan.Sets[i]
+				}
+			}
+			return printRuns(cmd.OutOrStdout(), *output, runs, true)
+		},
+	}
+}
+
+// refusal is an answer that is not to be tried again as it is.
+type refusal struct{ error }
+
+// request asks a controller; a refusal by status 503 or 429, or no answer, may be
+// tried again after the time it gives.
+func request(addr, method, path string, body []byte, to any) (again time.Duration, err error) {
+	m, err := httpwire.NewClient(addr, 1, 4<<20).Do(method, path, body, 30*time.Second)
+	if err != nil {
+		return time.Second, err
+	}
+	if m.Status >= 300 {
+		var e struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(m.Body, &e) != nil || e.Error == "" {
+			e.Error = "no reason given"
+		}
+		err := fmt.Errorf("%s answered %d: %s", addr, m.Status, e.Error)
+		if m.Status == 503 || m.Status == 429 || m.Status == 504 {
+			after, _ := strconv.Atoi(m.Get("retry-after"))
+			return time.Duration(max(after, 1)) * time.Second, err
+		}
+		return 0, refusal{err}
+	}
+	if err := json.Unmarshal(m.Body, to); err != nil {
+		return 0, fmt.Errorf("%s: answer can't be read: %w", addr, err)
+	}
+	return 0, nil
+}
+
+// patiently asks again until there is an answer, for as long as patience says.
+func patiently(patience time.Duration, ask func() (time.Duration, error)) error {
+	until := time.Now().Add(patience)
+	for {
+		again, err := ask()
+		var final refusal
+		if err == nil || errors.As(err, &final) || time.Now().Add(again).After(until) {
+			return err
+		}
+		time.Sleep(again)
+	}
+}
+
+// retryFor is how long a command goes on asking a service that does not answer.
+const retryFor = 60 * time.Second
+
+func printState(w io.Writer, output string, s sweepState) error {
+	if output == "json" {
+		b, err := json.Marshal(s)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(w, "%s\n", b)
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%s: %s, %d of %d runs created, %d done, %d withdrawn\n", s.ID, s.Status, s.Created, s.Runs, s.Done, s.Withdrawn)
+	return err
+}
+
+// errWithdrawn ends a command that waited for a sweep that was withdrawn.
+var errWithdrawn = errors.New("the sweep was withdrawn")
+
+func sweepSubmit(output *string) *cobra.Command {
+	cmd := &cobra.Command{Use: "submit FILE", Short: "Submits a sweep; submitted again it is the same one", Args: cobra.ExactArgs(1)}
+	addr := addrFlag(cmd)
+	wait := cmd.Flags().Bool("wait", false, "wait until it is over, and show how far it has come")
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		s, _, err := readSweep(args[0])
+		if err != nil {
+			return err
+		}
+		body := sweep.Encode(s)
+		if len(body) > api.MaxBody {
+			return fmt.Errorf("%s: %d bytes with its values, and %d can be sent", args[0], len(body), api.MaxBody)
+		}
+		var st sweepState
+		if err := patiently(retryFor, func() (time.Duration, error) { return request(*addr, "POST", "/sweeps", body, &st) }); err != nil {
+			return err
+		}
+		for *wait && st.Status != "done" && st.Status != "withdrawn" {
+			if err := printState(cmd.ErrOrStderr(), "table", st); err != nil {
+				return err
+			}
+			time.Sleep(5 * time.Second)
+			if err := patiently(retryFor, func() (time.Duration, error) { return request(*addr, "GET", "/sweeps/"+st.ID, nil, &st) }); err != nil {
+				return err
+			}
+		}
+		if err := printState(cmd.OutOrStdout(), *output, st); err != nil {
+			return err
+		}
+		if *wait && st.Status == "withdrawn" {
+			return errWithdrawn
+		}
+		return nil
+	}
+	return cmd
+}
+
+// oneSweep is a command that asks about a sweep and prints its state.
+func oneSweep(output *string, use, short, method, verb string) *cobra.Command {
+	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(1)}
+	addr := addrFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if !sweep.ValidID(args[0]) {
+			return fmt.Errorf("%q is no id of a sweep", args[0])
+		}
+		var st sweepState
+		var body []byte
+		if method == "POST" {
+			body = []byte("{}")
+		}
+		if err := patiently(retryFor, func() (time.Duration, error) { return request(*addr, method, "/sweeps/"+args[0]+verb, body, &st) }); err != nil {
+			return err
+		}
+		return printState(cmd.OutOrStdout(), *output, st)
+	}
+	return cmd
+}
+
+func sweepStatus(output *string) *cobra.Command {
+	return oneSweep(output, "status ID", "Shows how far a sweep has come", "GET", "")
+}
+
+func sweepCancel(output *string) *cobra.Command {
+	return oneSweep(output, "cancel ID", "Withdraws a sweep: what is not done never will be", "POST", "/withdraw")
+}
+
+func sweepRuns(output *string) *cobra.Command {
+	cmd := &cobra.Command{Use: "runs ID", Short: "Lists a sweep's runs with their values and jobs", Args: cobra.ExactArgs(1)}
+	addr := addrFlag(cmd)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if !sweep.ValidID(args[0]) {
+			return fmt.Errorf("%q is no id of a sweep", args[0])
+		}
+		after := 0
+		for first := true; ; first = false {
+			var page struct {
+				Runs []sweepRun `json:"runs"`
+				Next int        `json:"next"`
+			}
+			path := fmt.Sprintf("/sweeps/%s/runs?after=%d&most=200", args[0], after)
+			if err := patiently(retryFor, func() (time.Duration, error) { return request(*addr, "GET", path, nil, &page) }); err != nil {
+				return err
+			}
+			if err := printRuns(cmd.OutOrStdout(), *output, page.Runs, first); err != nil {
+				return err
+			}
+			if page.Next <= after {
+				return nil
+			}
+			after = page.Next
+		}
+	}
+	return cmd
+}
--- /dev/null
+++ b/cmd/zinclb/sweep_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+// TestSweepFiles checks and expands the examples as the pages say.
+func TestSweepFiles(t *testing.T) {
+	cases := []struct{ args, want, fails string }{
+		{"sweep check ../../deploy/examples/rainfall.txtpb", "pest-rainfall: 11 runs, 4 at once", ""},
+		{"sweep expand ../../deploy/examples/stations.txtpb", `{"station":"hill","stage":"clean"} sets [0 4]`, ""},
+		{"sweep expand --output json ../../deploy/examples/stations.txtpb", `"values":{"station":"valley","stage":"fit"}}`, ""},
+		{"sweep expand --output xml ../../deploy/examples/stations.txtpb", "", `--output: "xml"`},
+		{"sweep check nothing.txtpb", "", "nothing.txtpb"},
+		{"sweep status a/b", "", `"a/b" is no id`},
+	}
+	for _, tc := range cases {
+		cmd := root()
+		var out bytes.Buffer
+		cmd.SetOut(&out)
+		cmd.SetErr(&out)
+		cmd.SetArgs(strings.Fields(tc.args))
+		err := cmd.Execute()
+		if tc.fails != "" && (err == nil || !strings.Contains(err.Error(), tc.fails)) || tc.fails == "" && (err != nil || !strings.Contains(out.String(), tc.want)) {
+			t.Errorf("%s: %v\n%s", tc.args, err, out.String())
+		}
+	}
+}
--- a/internal/api/routes.go
+++ b/internal/api/routes.go
@@ -10,11 +10,14 @@
 // MaxBody is the largest request body.
 const MaxBody = 64 << 10
 
+// Slow says that Route may take long for a request.
+func Slow(m *httpwire.Message) bool { return m.Method == "POST" && m.Target == "/sweeps" }
+
 // Route turns a request into a message for the core, made once the number
 // that the reply will carry is known, or into an answer at once where the
 // request is bad.
 func Route(m *httpwire.Message) (build func(req uint64) any, answer *httpwire.Response) {
-	path, _, _ := strings.Cut(m.Target, "?")
+	path, query, _ := strings.Cut(m.Target, "?")
 	fail := func(status int, why string) (func(uint64) any, *httpwire.Response) {
 		return nil, &httpwire.Response{Status: status, Body: EncodeReply(core.Reply{Status: status, Error: why})}
 	}
@@ -56,6 +59,30 @@
 			s.Req = req
 			return s
 		}, nil
+	case strings.HasPrefix(path, "/sweeps/"):
+		build, allow, err := routeSweeps(path, query, m.Method)
+		switch {
+		case err != nil && strings.HasPrefix(err.Error(), "no such"):
+			return fail(404, err.Error())
+		case err != nil:
+			return fail(400, err.Error())
+		}
+		if r := need(allow); r != nil {
+			return nil, r
+		}
+		return build, nil
+	case path == "/sweeps":
+		if r := need("POST"); r != nil {
+			return nil, r
+		}
+		s, err := DecodeSweep(m.Body)
+		if err != nil {
+			return fail(400, err.Error())
+		}
+		return func(req uint64) any {
+			s.Req = req
+			return s
+		}, nil
 	case strings.HasPrefix(path, "/work/"):
 		id, verb, _ := strings.Cut(path[len("/work/"):], "/")
 		switch {
--- /dev/null
+++ b/internal/api/sweeps_test.go
@@ -0,0 +1,96 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/httpwire"
+)
+
+const wholeJob = `job { herd: "h" steward: "t" shape: "sweep" urgency: "idle" hands: 2 vcpus: 1 mem_gb: 1 seedstock: "im" expect_s: 5 } `
+
+// TestSweepRoutes: requests about sweeps, and what is wrong with bad ones.
+func TestSweepRoutes(t *testing.T) {
+	good := `id: "s" ` + wholeJob + `parameter { name: "a" value { int: 1 } value { text: "x\"y" } }`
+	cases := []struct {
+		method, target, body string
+		want                 string // the message, or status and error
+	}{
+		{"POST", "/sweeps", good, "submit s 2"},
+		{"POST", "/sweeps", "nonsense", "400 sweep:"},
+		{"POST", "/sweeps", strings.Replace(good, `id: "s"`, `id: "s/t"`, 1), `400 id: "s/t" is not`},
+		{"POST", "/sweeps", strings.Replace(good, `herd: "h"`, ``, 1), "submit s 0 run {a: 1}: herd: missing"},
+		{"POST", "/sweeps", strings.Replace(good, `hands: 2`, `hands: 0.5`, 1), "submit s 0 run {a: 1}: hands: must be a whole number"},
+		{"GET", "/sweeps", "", "405 use POST"},
+		{"GET", "/sweeps/s", "", "status s"},
+		{"POST", "/sweeps/s", "", "405 use GET"},
+		{"GET", "/sweeps/s/runs?after=20&most=10", "", "runs s 20 10"},
+		{"GET", "/sweeps/s/runs", "", "runs s 0 100"},
+		{"GET", "/sweeps/s/runs?after=x", "", `400 after: "x" is no number`},
+		{"GET", "/sweeps/s/runs?most=-1", "", `400 most: "-1" is no number`},
+		{"GET", "/sweeps/s/runs?other=1", "", "runs s 0 100"},
+		{"POST", "/sweeps/s/withdraw", "{}", "cancel s"},
+		{"GET", "/sweeps/s/withdraw", "", "405 use POST"},
+		{"GET", "/sweeps/s/what", "", "404 no such path"},
+		{"GET", "/sweeps/a%20b", "", "404 no such sweep"},
+	}
+	for _, tc := range cases {
+		build, answer := Route(&httpwire.Message{Method: tc.method, Target: tc.target, Body: []byte(tc.body)})
+		got := ""
+		if answer != nil {
+			var e struct{ Error string }
+			_ = json.Unmarshal(answer.Body, &e)
+			got = fmt.Sprint(answer.Status, " ", e.Error)
+		} else {
+			switch m := build(7).(type) {
+			case core.SubmitSweep:
+				got = fmt.Sprint("submit ", m.Plan.ID, " ", len(m.Plan.Specs), " ", m.Invalid)
+			case core.SweepStatus:
+				got = "status " + m.ID
+			case core.SweepRuns:
+				got = fmt.Sprint("runs ", m.ID, " ", m.After, " ", m.Most)
+			case core.CancelSweep:
+				got = "cancel " + m.ID
+			}
+		}
+		if !strings.HasPrefix(got, tc.want) {
+			t.Errorf("%s %s %.30s: %q, want %q", tc.method, tc.target, tc.body, got, tc.want)
+		}
+	}
+}
+
+// TestPackSweep: what is stored expands to the same runs, with their values and
+// the numbers of merged sets.
+func TestPackSweep(t *testing.T) {
+	m, err := DecodeSweep([]byte(`id: "s" duplicates: MERGE ` + wholeJob + `parameter { name: "a" value { int: 1 } value { text: "x\"y" } value { real: 1 } value { real: 0.5 } }`))
+	if err != nil || m.Invalid != "" {
+		t.Fatal(err, m.Invalid)
+	}
+	p, err := UnpackSweep(m.Stored)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Digest != m.Plan.Digest || len(p.Specs) != 3 || p.Specs[1].Sweep != "s" || p.Specs[1].Run != 1 {
+		t.Errorf("%+v", p)
+	}
+	answer := string(EncodeReply(core.Reply{Status: 200, Runs: &core.SweepPage{Next: 2, Runs: []core.SweepRun{
+		{Number: 0, ID: p.Specs[0].ID, State: core.Running, Values: p.Values[0], Sets: p.Sets[0]},
+		{Number: 1, ID: "x", State: core.RunPlanned, Values: p.Values[1], Sets: p.Sets[1]}}}}))
+	want := `{"runs":[{"run":0,"name_id":"` + p.Specs[0].ID + `","status":"running","values":{"a":1},"sets":[0,2]},{"run":1,"name_id":"x","status":"planned","values":{"a":"x\"y"}}],"next":2}`
+	if answer != want {
+		t.Errorf("got  %s\nwant %s", answer, want)
+	}
+	state := string(EncodeReply(core.Reply{Status: 201, Sweep: &core.SweepState{ID: "s", State: ledger.Cancelled, Runs: 3, Withdrawn: 3}}))
+	if want := `{"id":"s","status":"withdrawn","runs":3,"created":0,"done":0,"withdrawn":3}`; state != want {
+		t.Errorf("got %s", state)
+	}
+	for _, bad := range []string{"", "!", "AAAA", m.Stored[:len(m.Stored)/2]} {
+		if _, err := UnpackSweep(bad); err == nil {
+			t.Errorf("%q is unpacked", bad)
+		}
+	}
+}
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -220,6 +220,8 @@
 	switch {
 	case r.Job != nil:
 		v = jobAnswer{r.Job.ID, jobStates[r.Job.State], r.Job.Done, r.Job.Running}
+	case r.Sweep != nil || r.Runs != nil:
+		v = encodeSweep(r)
 	case r.Ops != nil:
 		v = r.Ops
 	case r.Status == 421:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -141,6 +141,7 @@
 	ShortCutoff, LongCutoff, Term, Trial, IdleReturn, LeaderLease Micros
 
 	SpareShare float64
+	Sweeps     bool
 }
 
 // Load reads and checks the platform's file.
@@ -318,6 +319,7 @@
 		}
 		o.SpareShare = *v
 	}
+	o.Sweeps = pb.GetSweeps()
 	if o.LongCutoff < o.ShortCutoff {
 		errs = append(errs, errors.New("long_cutoff_s: less than short_cutoff_s"))
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -128,3 +128,15 @@
 		}
 	}
 }
+
+// TestSweepsSwitch: sweeps are off unless a file under deploy/ says otherwise.
+func TestSweepsSwitch(t *testing.T) {
+	b, err := os.ReadFile("../../deploy/sweeps.txtpb")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := ParseOperators(b)
+	if err != nil || !o.Sweeps || Defaults().Sweeps {
+		t.Errorf("%v, %v by the file, %v without", err, o.Sweeps, Defaults().Sweeps)
+	}
+}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -67,6 +67,7 @@
 	// keepUntil puts removals of what is not needed off.
 	keepUntil int64
 	sweptAt   int64
+	sweepsAt  int64 // when sweeps were last gone on with
 	warm      warmState
 }
 
@@ -119,6 +120,7 @@
 	job     *ledger.Job
 	chunks  []chunkWrite
 	finish  bool // writes the end
+	derived bool // writes the end of one that is over by another's
 	end     ledger.End
 	remove  bool // deletes the job's keys
 	removed []ledger.Value
@@ -164,6 +166,15 @@
 		when = append(when, cond)
 		size += len(w.Value) + len(w.Key)*2 + 80
 	}
+	// A run must not be done once its sweep is cancelled, as users may have
+	// been told that it is.
+	open := map[string]bool{}
+	stillOpen := func(j *ledger.Job) {
+		if j.Sweep != "" && !open[j.Sweep] {
+			open[j.Sweep] = true
+			when = append(when, Cond{sweepEndPrefix + j.Sweep, 0})
+		}
+	}
 	addEnd := func(j *ledger.Job, outcome string) ledger.End {
 		e := c.end(outcome, j)
 		add(Write{Key: endPrefix + j.ID, Value: encode(e)}, Cond{endPrefix + j.ID, 0})
@@ -186,6 +197,7 @@
 			if room < 2 {
 				continue
 			}
+			stillOpen(j)
 			it.finish = true
 			it.end = addEnd(j, ledger.Done)
 			if values, _ := j.Stored(); j.NumPlaced == 0 && (c.joined() || len(values)+2 <= room) {
@@ -199,6 +211,7 @@
 					continue
 				}
 				addEnd(j, j.Over)
+				it.derived = true
 				room--
 			}
 			if room < 1 {
@@ -359,7 +372,11 @@
 		c.log.Info("job done", "job", j.ID, "tasks", j.Tasks)
 		c.noteEnd(j.ID, it.end)
 	}
-	j.Derived = false // an end that was missing is stored with what else was written
+	if it.derived {
+		// Not by any write: one of its progress may have been under way when
+		// its sweep was cancelled, and the job be removed without an end.
+		j.Derived = false
+	}
 	for _, w := range it.chunks {
 		if w.logged {
 			j.Logged(w.n, w.version)
@@ -424,6 +441,8 @@
 					p.Stamp = g.Stamp
 				}
 			}
+		case strings.HasPrefix(key, sweepEndPrefix) && g.Stamp != 0:
+			c.sweepTold(key[len(sweepEndPrefix):])
 		case strings.HasPrefix(key, endPrefix):
 			var e ledger.End
 			if g.Stamp != 0 && json.Unmarshal(g.Value, &e) == nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -32,7 +32,7 @@
 
 // StartPrefixes are listed at the start; ends are read one by one, as they
 // are kept for ever.
-var StartPrefixes = []string{jobPrefix, runPrefix, leaderKey, tokenKey, typesKey, boundsKey, hintsKey, formatKey, memberPrefix, logPrefix}
+var StartPrefixes = []string{jobPrefix, runPrefix, leaderKey, tokenKey, typesKey, boundsKey, hintsKey, formatKey, memberPrefix, logPrefix, sweepRoot}
 
 const second = config.Second
 
@@ -248,6 +248,8 @@
 		Retry  int // seconds
 		Error  string
 		Job    *JobState
+		Sweep  *SweepState
+		Runs   *SweepPage
 		News   *PeerNews
 		Ops    *OpsView
 		// Token and Orders answer a report, Leader a misdirected one.
@@ -372,6 +374,11 @@
 	recall recall
 	// asking are the ends of awaited jobs that are being read.
 	asking map[string]int64
+	// sweeps by their ids; lastPlan is the closed one whose plan is kept.
+	sweeps   map[string]*sweep
+	lastPlan string
+	// endRuns: there may be runs of cancelled sweeps that are not over yet.
+	endRuns bool
 	// lowered: the state service's limits have fallen to the ones to come.
 	lowered bool
 
@@ -398,7 +405,7 @@
 func New(set Settings, now int64, rng *rand.Rand, log *slog.Logger) *Core {
 	c := &Core{set: set, now: now, rng: rng, log: log, jobs: map[string]*ledger.Job{},
 		orphaned: map[string]map[ledger.Value]Change{}, ends: map[string]ledger.End{}, hints: map[string][]byte{},
-		peers: map[string]peerView{}, seen: map[string]redirect{}, span: ledger.ChunkTasks, graph: ledger.NewGraph(), recall: newRecall(), asking: map[string]int64{}, members: map[string]member{},
+		peers: map[string]peerView{}, seen: map[string]redirect{}, span: ledger.ChunkTasks, graph: ledger.NewGraph(), recall: newRecall(), asking: map[string]int64{}, sweeps: map[string]*sweep{}, members: map[string]member{},
 		commit: map[uint64]func(Committed){}, gets: map[uint64]func(Got){}}
 	c.list()
 	return c
@@ -440,6 +447,16 @@
 		c.onStatus(m)
 	case Cancel:
 		c.onCancel(m)
+	case SubmitSweep:
+		c.onSubmitSweep(m)
+	case SweepStatus:
+		c.askSweep(&ask{req: m.Req, id: m.ID, kind: askSweepStatus})
+	case SweepRuns:
+		c.askSweep(&ask{req: m.Req, id: m.ID, kind: askSweepRuns, after: m.After, most: m.Most})
+	case CancelSweep:
+		c.askSweep(&ask{req: m.Req, id: m.ID, kind: askSweepCancel})
+	case Expanded:
+		c.onExpanded(m)
 	case Ready:
 		c.onReady(m)
 	case Beat:
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -12,7 +12,21 @@
 // written only when every controller has been seen at this version, which is
 // stored as the format and never taken back. A program of version 1 says
 // nothing of its version.
-const Version = 2
+//
+// Version 2 is the log of progress and pipelines; 3 is sweeps, and is said and
+// latched only where they are switched on.
+const (
+	formatLog    = 2
+	formatSweeps = 3
+)
+
+// Version is what this controller can read and is to write.
+func (c *Core) version() int {
+	if c.set.Ops.Sweeps {
+		return formatSweeps
+	}
+	return formatLog
+}
 
 // formatValue is the latch: what all controllers can read. Tasks is how many
 // tasks a value of progress has at most, which only ever falls.
@@ -31,7 +45,7 @@
 }
 
 // joined says that data may be written that version 1 can't read.
-func (c *Core) joined() bool { return c.format.Version >= Version }
+func (c *Core) joined() bool { return c.format.Version >= formatLog }
 
 // tight says that what is written has to fit the limits to come as well. In
 // the first format it need not until they are here: a value that has to be
@@ -122,7 +136,7 @@
 // be of that version.
 func (c *Core) joinTick() {
 	e := &c.elect
-	if !c.synced || c.joined() || c.now < e.joinAt {
+	if !c.synced || c.format.Version >= c.version() || c.now < e.joinAt {
 		return
 	}
 	if e.lease == 0 {
@@ -130,13 +144,13 @@
 		return
 	}
 	m := c.members[c.set.Name]
-	if m.Boot == c.set.Boot || c.budget.level < 1 {
+	if m.Boot == c.set.Boot && m.Version == c.version() || c.budget.level < 1 {
 		return
 	}
 	e.joinAt = c.now + second
 	c.budget.level--
 	key, lease := memberPrefix+c.set.Name, e.lease
-	c.multi([]Cond{{key, m.stamp}}, []Write{{Key: key, Value: encode(member{Version: Version, Boot: c.set.Boot}), Lease: lease}}, func(r Committed) {
+	c.multi([]Cond{{key, m.stamp}}, []Write{{Key: key, Value: encode(member{Version: c.version(), Boot: c.set.Boot}), Lease: lease}}, func(r Committed) {
 		if r.Status == 400 && e.lease == lease && c.lead == nil {
 			e.lease = 0 // it has run out
 		}
@@ -149,15 +163,20 @@
 func (c *Core) latchTick() {
 	l := c.lead
 	tasks := l.spanWanted
-	if c.joined() && (tasks == 0 || tasks >= c.format.Tasks) || l.latching || c.now < l.latchAt || !c.sure() || c.budget.level < 1 {
+	raise := c.format.Version < c.version()
+	if !raise && (tasks == 0 || tasks >= c.format.Tasks) || l.latching || c.now < l.latchAt || !c.sure() || c.budget.level < 1 {
 		return
 	}
 	when := []Cond{{leaderKey, l.stamp}, {formatKey, c.formatAt}}
-	if !c.joined() {
-		tasks = c.spanFor()
+	if raise {
+		if !c.joined() {
+			tasks = c.spanFor()
+		} else if tasks == 0 || tasks > c.format.Tasks {
+			tasks = c.format.Tasks
+		}
 		for _, name := range append([]string{c.set.Name}, c.set.Peers...) {
 			m, ok := c.members[name]
-			if v := c.peers[name]; !ok || m.Version < Version || v.at > m.seen && v.version < Version {
+			if v := c.peers[name]; !ok || m.Version < c.version() || v.at > m.seen && v.version < c.version() {
 				return
 			}
 			if len(when) < 4*c.limits().TxnOps {
@@ -167,7 +186,7 @@
 	}
 	l.latching, l.latchAt = true, c.now+second
 	c.budget.level--
-	c.multi(when, []Write{{Key: formatKey, Value: encode(formatValue{Version, tasks})}}, func(Committed) {
+	c.multi(when, []Write{{Key: formatKey, Value: encode(formatValue{max(c.version(), c.format.Version), tasks})}}, func(Committed) {
 		l.latching = false // it holds when the mirror shows it
 	})
 }
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -87,6 +87,9 @@
 	Deadline   int64    `json:"dl,omitempty"`
 	// Awaits are the jobs that have to be done before any task starts.
 	Awaits []string `json:"aw,omitempty"`
+	// Sweep is the sweep that the job is a run of, and Run its number there.
+	Sweep string `json:"sw,omitempty"`
+	Run   int    `json:"sn,omitempty"`
 }
 
 // FetchTime is how long a machine that lacks the job's image takes to get it,
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -51,6 +51,7 @@
 	c.graph = ledger.NewGraph()
 	c.members = map[string]member{}
 	c.pages = nil
+	c.dropSweeps()
 	c.applied = m.Ledger
 	for _, r := range m.Rows {
 		c.apply(r)
@@ -94,6 +95,7 @@
 			}
 		}
 		c.applied = max(c.applied, m.Ledger)
+		c.endCancelledRuns()
 		c.checkLeadership()
 	}
 	if !m.View && c.synced {
@@ -147,6 +149,8 @@
 		c.applyFormat(ch, bad)
 	case strings.HasPrefix(key, "log/"):
 		c.applyPage(key[len("log/"):], ch, bad)
+	case strings.HasPrefix(key, "sweep"):
+		c.applySweep(key, ch, bad)
 	case strings.HasPrefix(key, "member/"):
 		c.applyMember(key[len("member/"):], ch, bad)
 	case strings.HasPrefix(key, "hints/") && !ch.Removed:
@@ -205,6 +209,7 @@
 			c.jobOver(j)
 		} else if r.Over == "" {
 			c.enterGraph(j)
+			c.endRuns = c.endRuns || j.Sweep != ""
 		}
 		c.jobArrived(j)
 	}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"strings"
+
 	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 )
@@ -37,7 +39,7 @@
 		}
 	}
 	c.told = keep
-	n := &PeerNews{Token: c.newest.Token, Leader: c.newest.Name, StateAge: c.stateAge(), Version: Version, Lowered: c.lowered}
+	n := &PeerNews{Token: c.newest.Token, Leader: c.newest.Name, StateAge: c.stateAge(), Version: c.version(), Lowered: c.lowered}
 	for _, t := range c.told {
 		n.Cancelled = append(n.Cancelled, t.id)
 	}
@@ -84,6 +86,10 @@
 		return
 	}
 	for _, id := range m.News.Cancelled {
+		if sweep, ok := strings.CutPrefix(id, toldSweep); ok {
+			c.sweepTold(sweep)
+			continue
+		}
 		if j := c.jobs[id]; j != nil && j.Over == "" {
 			c.noteEnd(id, ledger.End{Outcome: ledger.Cancelled, Tasks: j.Tasks})
 		}
@@ -134,8 +140,8 @@
 // forward hands a request on to a peer that the state service answers. A
 // request that was handed on is not handed on again.
 func (c *Core) forward(a *ask) bool {
-	if a.handed {
-		return false
+	if a.handed || a.kind >= askSweepSubmit {
+		return false // sweeps are not handed on
 	}
 	best := ""
 	for _, p := range c.set.Peers {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -278,7 +278,7 @@
 func (c *Core) unfinished() []*ledger.Job {
 	var all []*ledger.Job
 	for _, j := range c.jobs {
-		if j.Over == "" && !j.Waits() {
+		if j.Over == "" && !j.Waits() && c.untold(j) {
 			all = append(all, j)
 		}
 	}
@@ -498,6 +498,7 @@
 	c.inherit()
 	c.warmTick()
 	c.latchTick()
+	c.sweepTick()
 	c.hintsTick()
 	c.stuckTick()
 }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
@@ -30,6 +31,9 @@
 	tries   int
 	// handed: a peer has handed the request on.
 	handed bool
+	// sweep is a submitted one; after and most say which runs are asked for.
+	sweep       *SubmitSweep
+	after, most int
 }
 
 type askKind uint8
@@ -38,6 +42,11 @@
 	askStatus askKind = iota
 	askSubmit
 	askCancel
+	// All from here on are about sweeps.
+	askSweepSubmit
+	askSweepStatus
+	askSweepRuns
+	askSweepCancel
 )
 
 // desk serves the users: it shares one read of the moment among all requests
@@ -92,6 +101,11 @@
 		c.refuse(a)
 		return
 	}
+	if c.sweeping() && strings.HasPrefix(id, RunPrefix) {
+		a.refusal = Reply{Status: 400, Error: "name_id: begins like the runs of sweeps"}
+		c.wait(a)
+		return
+	}
 	if m.Invalid != "" {
 		a.refusal = Reply{Status: 400, Error: m.Invalid}
 		c.wait(a)
@@ -200,6 +214,10 @@
 
 // resume goes on with a request after a view that is younger than it.
 func (c *Core) resume(a *ask) {
+	if a.kind >= askSweepSubmit {
+		c.resumeSweep(a)
+		return
+	}
 	if e, ok := c.ends[a.id]; ok {
 		c.answerEnd(a.req, a.id, e)
 		return
@@ -273,10 +291,15 @@
 			return
 		}
 		d.writes = d.writes[1:]
-		if a.kind == askSubmit {
+		switch a.kind {
+		case askSubmit:
 			c.budget.level--
 			c.create(a)
-		} else {
+		case askSweepSubmit:
+			c.createSweep(a)
+		case askSweepCancel:
+			c.cancelSweep(a)
+		default:
 			c.budget.level -= 2
 			c.cancel(a)
 		}
@@ -316,7 +339,7 @@
 		c.refuse(a)
 		return
 	}
-	if a.kind == askCancel {
+	if a.kind == askCancel || a.kind == askSweepCancel {
 		c.wait(a) // the job's version may have changed
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/zinclb/zinclb/internal/api"
@@ -41,8 +42,14 @@
 	peers   map[string]*peer.Client
 	workers *workerPool
 	took    latencies
+	// slow are submissions of sweeps under way; one sweep is expanded at a time.
+	slow      chan struct{}
+	expanding sync.Mutex
 }
 
+// slowMost is how many submissions of sweeps may wait to be expanded.
+const slowMost = 4
+
 // pending is a request that waits for its reply.
 type pending struct {
 	msg   any
@@ -60,7 +67,7 @@
 
 // New wires a controller up.
 func New(p *config.Platform, ops config.Operators) *Node {
-	n := &Node{platform: p, inbox: make(chan envelope, inboxSize), start: time.Now(), replies: map[uint64]pending{}, took: latencies{},
+	n := &Node{platform: p, inbox: make(chan envelope, inboxSize), start: time.Now(), replies: map[uint64]pending{}, took: latencies{}, slow: make(chan struct{}, slowMost),
 		state: store.New(p.Outside.State, 24), watches: store.New(p.Outside.State, 2), cloud: cloud.New(p.Outside.Cloud),
 		peers: map[string]*peer.Client{}, workers: newWorkerPool(max(16, p.Params.Limits.Sockets/16))}
 	set := core.Settings{Name: p.Name, Params: p.Params, Ops: ops, Boot: strconv.FormatUint(rand.Uint64(), 36)}
@@ -134,6 +141,25 @@
 }
 
 func (n *Node) handle(m *httpwire.Message, reply func(httpwire.Response)) {
+	if !api.Slow(m) {
+		n.route(m, reply)
+		return
+	}
+	// It would keep all other requests waiting.
+	select {
+	case n.slow <- struct{}{}:
+		go func() {
+			defer func() { <-n.slow }()
+			n.expanding.Lock()
+			defer n.expanding.Unlock()
+			n.route(m, reply)
+		}()
+	default:
+		reply(httpwire.Response{Status: 503, Body: api.EncodeReply(core.Reply{Status: 503, Error: "other sweeps are being expanded"}), RetryAfter: 2})
+	}
+}
+
+func (n *Node) route(m *httpwire.Message, reply func(httpwire.Response)) {
 	build, answer := api.Route(m)
 	if answer != nil {
 		reply(*answer)
@@ -249,6 +275,13 @@
 			go func() { n.tell(n.cloud.Types()) }()
 		case core.ListMachines:
 			go func() { n.tell(n.cloud.List(time.Duration(e.Gap) * time.Microsecond)) }()
+		case core.Expand:
+			go func() {
+				n.expanding.Lock()
+				defer n.expanding.Unlock()
+				plan, err := api.UnpackSweep(e.Stored)
+				n.tell(core.Expanded{ID: e.ID, Plan: plan, Err: err})
+			}()
 		case core.Rent:
 			go func() { n.tell(n.cloud.Rent(e)) }()
 		case core.Release:
--- /dev/null
+++ b/internal/sweep/sweep_test.go
@@ -0,0 +1,228 @@
+package sweep
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+// expand parses and expands, with files that are there.
+func expand(text string, files map[string]string) (*Expansion, error) {
+	s, err := Parse([]byte(text))
+	if err != nil {
+		return nil, err
+	}
+	err = Resolve(s, func(name string) ([]byte, error) {
+		if f, ok := files[name]; ok {
+			return []byte(f), nil
+		}
+		return nil, os.ErrNotExist
+	})
+	if err != nil {
+		return nil, err
+	}
+	return Expand(s)
+}
+
+// sets says what the runs of an expansion are.
+func sets(x *Expansion) string {
+	var out []string
+	for _, r := range x.Runs {
+		out = append(out, x.Set(r.Values)+fmt.Sprint(r.Places))
+	}
+	return strings.Join(out, " ")
+}
+
+// TestExpand has the forms of a sweep, and what each fault is called.
+func TestExpand(t *testing.T) {
+	files := map[string]string{"p.csv": "x,name\n1,a\n2.5,\"b, c\"\n", "p.jsonl": `{"x": 1, "ok": true}` + "\n" + `{"x": 7, "ok": false}`, "odd.csv": "x\n1\n2,3\n"}
+	head := `id: "s" job { herd: "h" } `
+	cases := []struct{ name, text, want, fails string }{
+		{name: "the last parameter changes fastest", text: `parameter { name: "a" value { int: 1 } value { int: 2 } } parameter { name: "b" value { text: "x" } value { text: "y" } }`,
+			want: `{a: 1, b: "x"}[0] {a: 1, b: "y"}[1] {a: 2, b: "x"}[2] {a: 2, b: "y"}[3]`},
+		{name: "zip", text: `combine: ZIP parameter { name: "a" value { int: 1 } value { int: 2 } } parameter { name: "b" value { flag: true } value { flag: false } }`,
+			want: `{a: 1, b: true}[0] {a: 2, b: false}[1]`},
+		{name: "zip of unequal lists", text: `combine: ZIP parameter { name: "a" value { int: 1 } value { int: 2 } } parameter { name: "b" value { int: 1 } }`, fails: "parameter b: 1 values, and a has 2"},
+		{name: "a table", text: `row { cell { name: "a" value { int: 1 } } cell { name: "b" value { int: 2 } } } row { cell { name: "b" value { int: 4 } } cell { name: "a" value { int: 3 } } }`,
+			want: `{a: 1, b: 2}[0] {a: 3, b: 4}[1]`},
+		{name: "a table with a hole", text: `row { cell { name: "a" value { int: 1 } } cell { name: "b" value { int: 2 } } } row { cell { name: "b" value { int: 4 } } }`, fails: "row 2: no cell a"},
+		{name: "a range", text: `parameter { name: "a" range { from: 0.1 to: 0.5 step: 0.2 } }`, want: `{a: 0.1}[0] {a: 0.30000000000000004}[1] {a: 0.5}[2]`},
+		{name: "a range down", text: `parameter { name: "a" range { from: 3 to: 1 step: -1 } }`, want: `{a: 3}[0] {a: 2}[1] {a: 1}[2]`},
+		{name: "a range without values", text: `parameter { name: "a" range { from: 3 to: 1 } }`, fails: "parameter a: range from 3 to 1"},
+		{name: "a range without end", text: `parameter { name: "a" range { from: 0 to: inf } }`, fails: "parameter a: range"},
+		{name: "a CSV file", text: `parameter { name: "x" file: "p.csv" } parameter { name: "n" file: "p.csv" column: "name" } combine: ZIP`, want: `{x: 1, n: "a"}[0] {x: 2.5, n: "b, c"}[1]`},
+		{name: "JSON lines", text: `parameter { name: "x" file: "p.jsonl" } parameter { name: "ok" file: "p.jsonl" } combine: ZIP`, want: `{x: 1, ok: true}[0] {x: 7, ok: false}[1]`},
+		{name: "a file that is not there", text: `parameter { name: "x" file: "q.csv" }`, fails: "parameter x: file q.csv: file does not exist"},
+		{name: "a column that is not there", text: `parameter { name: "y" file: "p.csv" }`, fails: `no column "y"`},
+		{name: "a file with a broken line", text: `parameter { name: "x" file: "odd.csv" }`, fails: "parameter x: file odd.csv"},
+		{name: "conditions leave sets out", text: `parameter { name: "a" range { from: 1 to: 4 } } skip_if: "a % 2 == 0" skip_if: "a > 2"`, want: `{a: 1}[0]`},
+		{name: "conditions that leave none", text: `parameter { name: "a" range { from: 1 to: 4 } } skip_if: "a > 0"`, fails: "skip_if: no set of values is left"},
+		{name: "a condition that is no condition", text: `parameter { name: "a" value { int: 1 } } skip_if: "a"`, fails: "run {a: 1}: skip_if 1: 1 is neither True nor False"},
+		{name: "1 and 1.0 are one value", text: `parameter { name: "a" value { int: 1 } value { real: 1.0 } }`, fails: "sets 1 and 2 have the same values {a: 1}; duplicates: MERGE"},
+		{name: "and -0 is 0", text: `parameter { name: "a" value { int: 0 } value { real: -0.0 } } duplicates: MERGE`, want: `{a: 0}[0 1]`},
+		{name: "the text 1 is another", text: `parameter { name: "a" value { int: 1 } value { text: "1" } value { text: " 1" } }`, want: `{a: 1}[0] {a: "1"}[1] {a: " 1"}[2]`},
+		{name: "merged runs list all their places", text: `parameter { name: "a" value { int: 1 } value { int: 2 } value { real: 1 } value { real: 2 } value { int: 1 } } duplicates: MERGE`, want: `{a: 1}[0 2 4] {a: 2}[1 3]`},
+		{name: "no number", text: `parameter { name: "a" value { real: nan } }`, fails: "parameter a: value 1: not a number"},
+		{name: "an empty value", text: `parameter { name: "a" value { } }`, fails: "parameter a: value 1: a value without"},
+		{name: "a huge text", text: `parameter { name: "a" value { text: "` + strings.Repeat("x", MaxText+1) + `" } }`, fails: "parameter a: value 1: a text of more than"},
+		{name: "too many runs", text: `parameter { name: "a" range { from: 1 to: 200 } } parameter { name: "b" range { from: 1 to: 51 } }`, fails: "parameter b: more than 10000 sets"},
+		{name: "no parameters", text: ``, fails: "parameter: 0 of them"},
+		{name: "a parameter twice", text: `parameter { name: "a" value { int: 1 } } parameter { name: "a" value { int: 1 } }`, fails: "parameter a: declared twice"},
+		{name: "a name that is none", text: `parameter { name: "a b" value { int: 1 } }`, fails: `parameter "a b"`},
+		{name: "a name that is taken", text: `parameter { name: "min" value { int: 1 } }`, fails: "parameter min: the name is taken"},
+		{name: "an unknown field of the file", text: `parametr { }`, fails: "parametr"},
+		{name: "pending out of bounds", text: `pending: 0 parameter { name: "a" value { int: 1 } }`, fails: "pending: 0"},
+		{name: "a field given twice", text: `set { field: "herd" is: "1" } parameter { name: "a" value { int: 1 } }`, fails: "set herd: the field is given twice"},
+		{name: "a field that is none", text: `set { field: "hrd" is: "1" } parameter { name: "a" value { int: 1 } }`, fails: `no field "hrd"`},
+		{name: "a run that awaits itself", text: `set { field: "awaits" is: "[run()]" } parameter { name: "a" value { int: 1 } }`, fails: "run {a: 1}: awaits: it waits for itself"},
+		{name: "two that await each other", text: `set { field: "awaits" is: "[run(a=3-a)]" } parameter { name: "a" value { int: 1 } value { int: 2 } }`, fails: "awaits: it waits for itself, by way of"},
+		{name: "one that awaits a run that is left out", text: `set { field: "awaits" is: "[run(a=2)] if a == 1 else []" } parameter { name: "a" value { int: 1 } value { int: 2 } } skip_if: "a == 2"`, fails: "run {a: 1}: set awaits: run: there is no run {a: 2}"},
+		{name: "each run comes after those that it awaits", text: `set { field: "awaits" is: "[run(a=a+1)] if a < 3 else []" } parameter { name: "a" range { from: 1 to: 3 } }`, want: `{a: 3}[2] {a: 2}[1] {a: 1}[0]`},
+	}
+	for _, tc := range cases {
+		x, err := expand(head+tc.text, files)
+		switch {
+		case tc.fails != "" && (err == nil || !strings.Contains(err.Error(), tc.fails)):
+			t.Errorf("%s: got %v, want %q", tc.name, err, tc.fails)
+		case tc.fails == "" && err != nil:
+			t.Errorf("%s: %v", tc.name, err)
+		case tc.fails == "" && sets(x) != tc.want:
+			t.Errorf("%s: got %s, want %s", tc.name, sets(x), tc.want)
+		}
+	}
+}
+
+// TestIdentity: a run's id is made of the values alone, however they are
+// written, and of the sweep's id. The literal ids are stored in deployments, so
+// they must never change.
+func TestIdentity(t *testing.T) {
+	const one = "sweep.s.57f18a6cfe5a6cf3077249d5"
+	a := RunID("s", []string{"a", "b"}, []Value{int64(1), "x"})
+	if a != one {
+		t.Errorf("the id has become %s", a)
+	}
+	if b := RunID("s", []string{"b", "a"}, []Value{"x", int64(1)}); a != b {
+		t.Errorf("the order of parameters matters: %s and %s", a, b)
+	}
+	for _, other := range []string{
+		RunID("t", []string{"a", "b"}, []Value{int64(1), "x"}),
+		RunID("s", []string{"a", "b"}, []Value{"1", "x"}),
+		RunID("s", []string{"a", "b"}, []Value{true, "x"}),
+		RunID("s", []string{"a", "b"}, []Value{1.5, "x"}),
+		RunID("s", []string{"a", "c"}, []Value{int64(1), "x"}),
+		RunID("s", []string{"a"}, []Value{"1nx"}),
+	} {
+		if other == a {
+			t.Errorf("other values have the id %s as well", a)
+		}
+	}
+	x, err := expand(`id: "s" job { herd: "h" hands: 2 } set { field: "hands" is: "1" } parameter { name: "a" value { int: 1 } }`, nil)
+	if err == nil {
+		t.Errorf("hands given twice: %v", sets(x))
+	}
+}
+
+// TestExpressions: what they may do, and that none can run long or grow.
+func TestExpressions(t *testing.T) {
+	cases := []struct{ field, is, want, fails string }{
+		{"hands", "n * 2 + 1", "7", ""},
+		{"hands", "2 if big else n", "3", ""},
+		{"seedstock", `"img-" + name.upper()`, "img-AB", ""},
+		{"seedstock", `"%s" % n`, "", "set seedstock: % on a text"},
+		{"seedstock", `"{}-{}".format(name, n)`, "ab-3", ""},
+		{"expect_s", "min(n, 2) / 4", "0.5", ""},
+		{"expect_s", "round(n / 2)", "2", ""},
+		{"scatter", "not big", "true", ""},
+		{"paddock", "None", "<nil>", ""},
+		{"breeds", `["g8", "g" + str(n)]`, "[g8 g3]", ""},
+		{"seedstock", "n", "", "set seedstock: 3 is no text"},
+		{"hands", "name", "", "set hands: ab is no number"},
+		{"scatter", "1", "", "set scatter: 1 is neither"},
+		{"breeds", "[1]", "", "set breeds: 1 in the list is no text"},
+		{"hands", "n / 0", "", "set hands: "},
+		{"hands", "nn", "", `"nn", which is no parameter,`},
+		{"hands", "n +", "", "set hands"},
+		{"hands", "[x for x in [1]][0]", "", "a loop"},
+		{"hands", "(lambda: 1)()", "", "a function"},
+		{"hands", "len(range(1000000000))", "", `"range"`},
+		{"hands", "len(list([1]))", "", `"list"`},
+		{"hands", "len(name * 1000000000)", "", "would grow too long"},
+		{"hands", "len(1000000000 * name)", "", "would grow too long"},
+		{"hands", "len([1] * 1000000000)", "", "would grow too long"},
+		{"hands", "1 << 500", "", "a shift"},
+		{"seedstock", `name.replace("a", "b")`, "", "the method replace"},
+		{"seedstock", "name * 600", "", "a text of more than 1024 bytes"},
+		{"hands", strings.Repeat("9", 400), "", "too large"},
+		{"expect_s", `float("nan")`, "", "not a number"},
+		{"expect_s", `float("inf")`, "", "not a number"},
+		{"hands", strings.Repeat("n+", 1001) + "n", "", "more than 2000 bytes"},
+		{"hands", strings.Repeat("(", 900) + "n" + strings.Repeat(")", 900), "", "excessive nesting"},
+		{"hands", "min(*[1, 2])", "", "an unpacked argument"},
+		{"hands", "{}[name]", "", "set hands"},
+		{"awaits", `[run_of("other", n=1)]`, "[" + RunID("other", []string{"n"}, []Value{int64(1)}) + "]", ""},
+		{"awaits", `[run(m=1)]`, "", `run: "m" is no parameter`},
+		{"awaits", `[run(1)]`, "", "run: values are given by their names"},
+		{"awaits", `[run_of("a b")]`, "", "run_of: takes the id"},
+	}
+	for _, tc := range cases {
+		x, err := expand(fmt.Sprintf(`id: "s" job { herd: "h" } set { field: %q is: %q }
+			parameter { name: "n" value { int: 3 } } parameter { name: "name" value { text: "ab" } } parameter { name: "big" value { flag: false } }`, tc.field, tc.is), nil)
+		switch {
+		case tc.fails != "" && (err == nil || !strings.Contains(err.Error(), tc.fails)):
+			t.Errorf("%.60s: got %v, want %q", tc.is, err, tc.fails)
+		case tc.fails == "" && err != nil:
+			t.Errorf("%.60s: %v", tc.is, err)
+		case tc.fails == "":
+			if got := fmt.Sprint(x.Runs[0].Job[tc.field]); got != tc.want {
+				t.Errorf("%.60s: got %s, want %s", tc.is, got, tc.want)
+			}
+		}
+	}
+}
+
+// TestLargest: 10,000 runs expand, all to ids of their own, and the same again.
+func TestLargest(t *testing.T) {
+	text := `id: "s" job { herd: "h" } set { field: "hands" is: "a % 7 + 1" } parameter { name: "a" range { from: 1 to: 100 } } parameter { name: "b" range { from: 1 to: 100 } }`
+	x, err := expand(text, nil)
+	y, err2 := expand(text, nil)
+	if err = errors.Join(err, err2); err != nil {
+		t.Fatal(err)
+	}
+	ids := map[string]bool{}
+	for i := range x.Runs {
+		ids[x.Runs[i].ID] = true
+	}
+	if len(ids) != MaxRuns || x.Digest != y.Digest {
+		t.Errorf("%d ids, digests %s and %s", len(ids), x.Digest, y.Digest)
+	}
+	if z, _ := expand(strings.Replace(text, "% 7", "% 6", 1), nil); z.Digest == x.Digest {
+		t.Error("another job, and the same digest")
+	}
+}
+
+// FuzzExpand: no file makes expansion panic, and what expands does so again to
+// the same, also after it was encoded for storage.
+func FuzzExpand(f *testing.F) {
+	f.Add(`id: "s" job { herd: "h" } set { field: "hands" is: "a * 2" } parameter { name: "a" range { from: 1 to: 3 } } skip_if: "a == 2"`)
+	f.Add(`id: "s" job { herd: "h" awaits: "x" } row { cell { name: "a" value { real: 1e300 } } } duplicates: MERGE`)
+	f.Add(`id: "s" job { } set { field: "awaits" is: "[run(a=1)] if a > 1 else []" } parameter { name: "a" value { int: 1 } value { int: 2 } }`)
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse([]byte(text))
+		if err != nil {
+			return
+		}
+		x, err := Expand(s)
+		if err != nil {
+			return
+		}
+		again, err := Parse(Encode(s))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if y, err := Expand(again); err != nil || y.Digest != x.Digest {
+			t.Fatalf("%v: another expansion after encoding", err)
+		}
+	})
+}
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 
+	"github.com/zinclb/zinclb/internal/api"
 	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core"
 	"github.com/zinclb/zinclb/internal/core/fleet"
@@ -26,6 +27,7 @@
 	Types    []fleet.Type
 	Machines int // at the start, of the first type
 	Jobs     []Job
+	Sweeps   []Sweep
 	Length   int64
 	Faults   []Fault
 	// Loss is the share of state requests whose answer is lost after the
@@ -70,12 +72,13 @@
 	events events
 	rng    *rand.Rand
 
-	state *State
-	cloud *cloud
-	nodes []*node
-	work  []*worker
-	users map[string]*user
-	Check *Checker
+	state  *State
+	cloud  *cloud
+	nodes  []*node
+	work   []*worker
+	users  map[string]*user
+	sweeps []*sweepUser
+	Check  *Checker
 }
 
 type node struct {
@@ -96,10 +99,15 @@
 	accepted bool
 	over     string
 	asked    int
+	// took is how long it was from the first try until it was accepted.
+	took int64
 }
 
 // Play plays a day and returns the cluster at its end.
-func Play(d Day) *Cluster {
+func Play(d Day) *Cluster { return play(d, nil) }
+
+// play calls begin, if it is not nil, before anything happens.
+func play(d Day, begin func(*Cluster)) *Cluster {
 	c := &Cluster{Day: d, rng: rand.New(rand.NewPCG(d.Seed, 1)), users: map[string]*user{}}
 	c.Check = newChecker(c)
 	c.state = newState(c)
@@ -124,9 +132,15 @@
 			c.at(u.job.Cancel, func() { u.withdraw(c) })
 		}
 	}
+	for _, s := range d.Sweeps {
+		c.sweeps = append(c.sweeps, c.sweep(s))
+	}
 	for _, f := range d.Faults {
 		c.fault(f)
 	}
+	if begin != nil {
+		begin(c)
+	}
 	for len(c.events) > 0 && c.events[0].at <= d.Length {
 		e := heap.Pop(&c.events).(event)
 		c.now = max(c.now, e.at)
@@ -339,6 +353,9 @@
 			}
 			c.after(d, func() { w.direct(e) })
 		}
+	case core.Expand:
+		plan, err := api.UnpackSweep(e.Stored)
+		c.after(c.lag()*20, func() { n.tell(epoch, core.Expanded{ID: e.ID, Plan: plan, Err: err}) })
 	case core.GetTypes, core.ListMachines, core.Rent, core.Release:
 		c.cloud.call(n, epoch, e)
 	default:
@@ -413,7 +430,7 @@
 			}
 			done = true
 			if r.Status == 200 || r.Status == 201 {
-				u.accepted = true
+				u.accepted, u.took = true, c.now-u.job.At
 				c.Check.told(spec.ID, r)
 				c.after(5*second, func() { u.poll(c) })
 				return
--- a/internal/testbed/state.go
+++ b/internal/testbed/state.go
@@ -16,6 +16,7 @@
 	c       *Cluster
 	keys    map[string]stored
 	log     []core.Change
+	times   []int64 // when each revision was made, from the first on
 	ledger  uint64
 	leases  map[uint64]*lease
 	last    uint64
@@ -28,6 +29,8 @@
 	limits config.StateLimits
 	// Refused counts requests over the limit.
 	Refused int
+	// written, if set, is called after each transaction that was executed.
+	written func([]core.Write)
 	// Malformed counts those beyond the limits of a value or a transaction.
 	Malformed int
 }
@@ -195,7 +198,7 @@
 	if bad != nil {
 		return core.Committed{ID: e.ID, Status: 409, Failed: bad, Ledger: s.ledger}
 	}
-	s.ledger++
+	s.advance()
 	for _, w := range e.Writes {
 		if w.Value == nil {
 			delete(s.keys, w.Key)
@@ -206,9 +209,25 @@
 		s.log = append(s.log, core.Change{Key: w.Key, Value: w.Value, Stamp: s.ledger})
 	}
 	s.wake()
+	if s.written != nil {
+		s.written(e.Writes)
+	}
 	return core.Committed{ID: e.ID, Status: 200, Ledger: s.ledger}
 }
 
+// advance begins a new revision, when says when one was.
+func (s *State) advance() {
+	s.ledger++
+	s.times = append(s.times, s.c.now)
+}
+
+func (s *State) when(stamp uint64) int64 {
+	if stamp == 0 {
+		return 0
+	}
+	return s.times[stamp-1]
+}
+
 func (s *State) since(after uint64) []core.Change {
 	i, _ := slices.BinarySearchFunc(s.log, after+1, func(c core.Change, stamp uint64) int {
 		return int(int64(c.Stamp) - int64(stamp))
@@ -241,7 +260,7 @@
 	}
 	slices.Sort(keys)
 	for _, k := range keys {
-		s.ledger++
+		s.advance()
 		delete(s.keys, k)
 		s.log = append(s.log, core.Change{Key: k, Stamp: s.ledger, Removed: true})
 	}
