Machines are gathered in one zone for a gang that no zone has enough for

Ruled out: keeping all idle machines while anything waits, which pays for machines that cannot help.

Change: while no zone has enough machines that a waiting one-zone job may use, busy or idle, renting goes to the zone with the most of them and its idle machines stay.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -150,7 +150,7 @@
 	}
 	slices.SortFunc(jobs, func(a, b *ledger.Job) int {
 		x, y := order[a], order[b]
-		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(b.Rank, a.Rank), cmp.Compare(x.at, y.at), cmp.Compare(a.Arrival, b.Arrival))
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(b.Rank, a.Rank), cmp.Compare(x.at, y.at), cmp.Compare(a.Arrival, b.Arrival), cmp.Compare(a.ID, b.ID))
 	})
 	// While the budget is short, what can wait does so for a while, so that
 	// one write takes many tasks' ends.
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -158,7 +158,8 @@
 		fleet: fleet.NewSet(), roster: newRoster(), leaderState: newLeaderState(c.now)}
 	c.takeHints()
 	placed := 0
-	for _, j := range c.jobs {
+	for _, id := range inOrder(c.jobs) {
+		j := c.jobs[id]
 		c.noteUse(j.Spec)
 		j.EachPlaced(func(i int, t *ledger.Task) {
 			t.Phase, t.Stop = ledger.Unseen, ""
@@ -180,8 +181,8 @@
 
 func (c *Core) stepDown(why string) {
 	c.log.Info("no longer leading", "token", c.lead.token, "why", why)
-	for _, p := range c.lead.lot.byName {
-		c.emit(Reply{Req: p.req, Status: 503, Error: "no longer leading"})
+	for _, name := range inOrder(c.lead.lot.byName) {
+		c.emit(Reply{Req: c.lead.lot.byName[name].req, Status: 503, Error: "no longer leading"})
 	}
 	c.lead = nil
 	c.bounds = fleet.Bounds{}
--- /dev/null
+++ b/internal/core/gather_test.go
@@ -0,0 +1,47 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/core/fleet"
+	"github.com/zinclb/zinclb/internal/core/ledger"
+)
+
+// TestGather: machines are gathered in one zone only while no zone has enough.
+func TestGather(t *testing.T) {
+	const now = 100 * second
+	a, b, spotA, spotB := market{"big", "a", false}, market{"big", "b", false}, market{"big", "a", true}, market{"big", "b", true}
+	gang := func(n int) *ledger.Spec {
+		return &ledger.Spec{ID: "g", Kind: ledger.Gang, Tasks: n, OneZone: true, Need: ledger.Vec{CPU: 10_000, GPU: 2000}}
+	}
+	cases := []struct {
+		name         string
+		spec         *ledger.Spec
+		here, coming map[market]int64
+		refused      []market
+		spot         bool
+		want         string
+	}{
+		{"a zone has enough", gang(2), map[market]int64{a: 1, b: 2}, nil, nil, false, ""},
+		{"the one with the most", gang(3), map[market]int64{a: 1, b: 2}, nil, nil, false, "b"},
+		{"what is coming counts", gang(3), map[market]int64{a: 1, b: 1}, map[market]int64{a: 1}, nil, false, "a"},
+		{"what is coming is not enough", gang(3), map[market]int64{a: 1}, map[market]int64{a: 2}, nil, false, "a"},
+		{"none to be had where the most are", gang(3), map[market]int64{a: 1, b: 2}, nil, []market{b}, false, "a"},
+		{"none to be had anywhere", gang(3), map[market]int64{a: 1, b: 2}, nil, []market{a, b}, false, "b"},
+		{"spot machines are of no use to it", gang(2), map[market]int64{spotA: 2, b: 1}, nil, nil, false, "b"},
+		{"spot machines are", gang(3), map[market]int64{spotA: 2, b: 1}, nil, []market{a}, true, "a"},
+		{"bound to a zone", &ledger.Spec{Tasks: 3, OneZone: true, Zone: "a", Need: gang(1).Need}, map[market]int64{b: 9}, nil, []market{spotB}, false, "a"},
+		{"two tasks on each machine", &ledger.Spec{Tasks: 4, OneZone: true, Need: ledger.Vec{CPU: 6000}}, map[market]int64{a: 2}, nil, nil, false, ""},
+	}
+	for _, tc := range cases {
+		c := &Core{now: now, types: []fleet.Type{{Name: "big", Cap: ledger.Vec{CPU: 12_000, GPU: 2000}, Zones: []string{"a", "b"}}}, lead: &leadership{leaderState: newLeaderState(0)}}
+		c.set.Zones = []string{"a", "b"}
+		for _, m := range tc.refused {
+			c.lead.cloud.refused[m] = now + second
+		}
+		tc.spec.Spot = tc.spot
+		if got := c.gatherIn(tc.spec, tc.here, tc.coming); got != tc.want {
+			t.Errorf("%s: in %q, want %q", tc.name, got, tc.want)
+		}
+	}
+}
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -129,7 +129,8 @@
 // used only when any machine that the last leader was warming has come to
 // the end of its lease, as each task is to be on one machine at a time.
 func (c *Core) takeHints() {
-	for key, value := range c.hints {
+	for _, key := range inOrder(c.hints) {
+		value := c.hints[key]
 		var h hints
 		part, err := strconv.Atoi(strings.TrimPrefix(key, hintsKey+"/"))
 		if err != nil || json.Unmarshal(value, &h) != nil || part >= h.Of {
@@ -152,8 +153,8 @@
 	for n, images := range c.recall.machines {
 		c.lead.known[n] = append(c.lead.known[n], images...)
 	}
-	for _, list := range c.recall.done {
-		for _, s := range list {
+	for _, image := range inOrder(c.recall.done) {
+		for _, s := range c.recall.done[image] {
 			c.noteUse(s)
 			c.lead.inherited = append(c.lead.inherited, s)
 		}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -186,10 +186,14 @@
 	if len(plan.Waiting) == 0 {
 		return
 	}
+	var tried []*ledger.Job
 	for _, j := range c.jobs {
-		if j.NumPlaced == 0 || j.Tried || j.Over != "" || j.Checkpoint == 0 {
-			continue
+		if j.NumPlaced > 0 && !j.Tried && j.Over == "" && j.Checkpoint > 0 {
+			tried = append(tried, j)
 		}
+	}
+	slices.SortFunc(tried, func(a, b *ledger.Job) int { return cmp.Compare(a.ID, b.ID) })
+	for _, j := range tried {
 		due := false
 		requeued := &sched.Job{Job: j, Turn: c.turn(j), Guaranteed: guaranteed[j]}
 		j.EachPlaced(func(i int, t *ledger.Task) {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -184,6 +184,7 @@
 	report := config.Secs(c.set.Workers.ReportS)
 	heard, hush, silent := 0, 0, []*fleet.Machine{}
 	idle := map[string][]*fleet.Machine{}
+	gathers := c.gathers()
 	for _, m := range c.lead.fleet.All() {
 		quiet := c.now - max(m.Heard, c.lead.since)
 		// One that has not been heard under this leader counts too, if it is
@@ -199,7 +200,7 @@
 			if m.Drain && len(m.Placed) == 0 {
 				c.wantRelease(m.Name)
 			}
-			if m.IdleSince != 0 && len(m.Placed) == 0 && c.now-m.IdleSince > c.set.Ops.IdleReturn && c.now-c.lead.since > c.set.Ops.IdleReturn {
+			if m.IdleSince != 0 && len(m.Placed) == 0 && c.now-m.IdleSince > c.set.Ops.IdleReturn && c.now-c.lead.since > c.set.Ops.IdleReturn && !gathered(gathers, m) {
 				idle[m.Type] = append(idle[m.Type], m)
 			}
 		case len(m.Placed) > 0 && (quiet > 4*report+2*second || m.NoticeAt != 0 && c.now > m.NoticeAt && quiet > 2*report):
@@ -207,7 +208,8 @@
 		}
 	}
 	// Of long idle machines those stay that are kept ready as spare ones.
-	for typ, l := range idle {
+	for _, typ := range inOrder(idle) {
+		l := idle[typ]
 		slices.SortFunc(l, func(a, b *fleet.Machine) int {
 			return cmp.Or(cmp.Compare(a.IdleSince, b.IdleSince), cmp.Compare(a.Name, b.Name))
 		})
@@ -232,7 +234,8 @@
 			c.wantRelease(m.Name)
 		}
 	}
-	for name, b := range s.booting {
+	for _, name := range inOrder(s.booting) {
+		b := s.booting[name]
 		if m := c.lead.fleet.Get(name); m != nil && m.Heard != 0 {
 			// It has come up since the last list, as a whole zone does when
 			// a cut that a leader began in is over.
@@ -356,6 +359,7 @@
 			per[b.market]++
 		}
 	}
+	gathers := c.gathers()
 	for i := range c.types {
 		t := &c.types[i]
 		n := at(t.Name)
@@ -365,7 +369,7 @@
 		if want <= 0 {
 			continue
 		}
-		mk, ok := c.chooseMarket(t)
+		mk, ok := c.chooseMarket(t, gathers)
 		if !ok {
 			continue
 		}
@@ -425,10 +429,19 @@
 }
 
 // chooseMarket picks a zone and kind that has not just been refused, ordinary
-// machines first: any job may use them and they stay.
-func (c *Core) chooseMarket(t *fleet.Type) (market, bool) {
+// machines first: any job may use them and they stay. Jobs that machines are
+// gathered for have theirs before.
+func (c *Core) chooseMarket(t *fleet.Type, gathers []gather) (market, bool) {
 	s := &c.lead.cloud
 	var opts []market
+	for _, g := range gathers {
+		for _, spot := range []bool{false, true} {
+			mk := market{t.Name, g.zone, spot}
+			if g.spec.Allows(t.Name, g.zone, spot, t.Cap) && slices.Contains(t.Zones, g.zone) && !s.renting[mk] && s.refused[mk] <= c.now {
+				return mk, true
+			}
+		}
+	}
 	for _, spot := range []bool{false, true} {
 		for _, z := range t.Zones {
 			mk := market{t.Name, z, spot}
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -193,7 +193,7 @@
 // turn by when it has to start at the latest, and after its equals once its
 // deadline is lost.
 func order(a, b *Job) int {
-	return cmp.Or(cmp.Compare(b.Rank, a.Rank), last(!a.Guaranteed, !b.Guaranteed), last(a.Late, b.Late), cmp.Compare(a.Turn, b.Turn), cmp.Compare(a.Arrival, b.Arrival))
+	return cmp.Or(cmp.Compare(b.Rank, a.Rank), last(!a.Guaranteed, !b.Guaranteed), last(a.Late, b.Late), cmp.Compare(a.Turn, b.Turn), cmp.Compare(a.Arrival, b.Arrival), cmp.Compare(a.ID, b.ID))
 }
 
 // last puts the one that is so after the one that is not.
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -285,7 +285,8 @@
 		return
 	}
 	c.endRuns = false
-	for _, j := range c.jobs {
+	for _, id := range inOrder(c.jobs) {
+		j := c.jobs[id]
 		if j.Sweep == "" || j.Over != "" {
 			continue
 		}
@@ -335,8 +336,8 @@
 
 // dropSweeps is called before the stored state is read anew.
 func (c *Core) dropSweeps() {
-	for _, s := range c.sweeps {
-		for _, a := range s.asks {
+	for _, id := range inOrder(c.sweeps) {
+		for _, a := range c.sweeps[id].asks {
 			c.refuse(a)
 		}
 	}
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -132,8 +132,8 @@
 // wherever they go.
 func (c *Core) imageWorth() map[string]int64 {
 	var all float64
-	for _, u := range c.lead.warm.uses {
-		all += u.score
+	for _, im := range inOrder(c.lead.warm.uses) {
+		all += c.lead.warm.uses[im].score
 	}
 	worth := make(map[string]int64, len(c.lead.warm.uses))
 	for im, u := range c.lead.warm.uses {
--- a/internal/emulator/history/linear.go
+++ b/internal/emulator/history/linear.go
@@ -66,6 +66,12 @@
 			switch e.Status {
 			case 200, 201, 404:
 				ops = append(ops, porcupine.Operation{Input: asked{e.Op, e.Job}, Call: s.At, Output: got{e.Status, e.State}, Return: e.At})
+				if e.Op == Submit {
+					// What a submission is told may be younger than what it
+					// did: its job may have been withdrawn meanwhile.
+					ops[len(ops)-1].Output = got{}
+					ops = append(ops, porcupine.Operation{Input: asked{Poll, e.Job}, Call: s.At, Output: got{e.Status, e.State}, Return: e.At})
+				}
 			case 400, 422:
 			default:
 				unknown(e.Op, e.Job, s.At)
