Shares of aims by their time, counted only once it is over; tests of the figures

Orders to a machine's own address have a sender on sockets too, so that a cut stops them there as it does in fake time.

--- a/cmd/zinclb-experiment/main.go
+++ b/cmd/zinclb-experiment/main.go
@@ -50,7 +50,7 @@
 	f.StringVar(&m.mode, "mode", "fake", "fake time, or sockets")
 	f.StringVar(&m.out, "out", "target/experiment", "gets results.jsonl, report.md and the pictures")
 	f.StringVar(&m.operators, "operators", "", "operators' settings of head's controllers, in fake time")
-	f.StringSliceVar(&m.plots, "plot", []string{"accept", "accept_p99_s", "tasks_lost"}, "figures to draw besides the aims")
+	f.StringSliceVar(&m.plots, "plot", []string{"accept_p99_s", "tasks_lost"}, "figures to draw besides the aims")
 	f.IntVar(&m.parallel, "parallel", runtime.NumCPU(), "runs at once; on sockets they share this machine")
 	f.IntVar(&m.port, "port", 7200, "the first port, on sockets")
 	cmd.AddCommand(one())
--- a/internal/emulator/history/measure.go
+++ b/internal/emulator/history/measure.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/zinclb/zinclb/internal/emulator/wire"
@@ -22,9 +23,8 @@
 
 // Measure says how well a history went, as numbers by name. Times are seconds;
 // they are counted from a job's first attempt to submit, and for a job that
-// awaits others from the moment when the last of them is done. Jobs that were
-// submitted in the last tenth are left out of the shares, as their time is cut
-// off; cancelled ones are too.
+// awaits others from the moment when the last of them is done. Jobs that
+// still have time at the end are left out of the shares, and cancelled ones are.
 func Measure(events []Event, terms Terms, aims []Aim) map[string]float64 {
 	out := map[string]float64{}
 	jobs := map[string]*course{}
@@ -80,17 +80,21 @@
 		out["accept_p50_s"], out["accept_p99_s"] = quantile(accepts, 0.5), quantile(accepts, 0.99)
 	}
 	for _, a := range aims {
-		name := a.Kind
-		if a.Class != "" {
-			name += " " + a.Class
-		}
+		name := a.Name()
 		good, all := 0, 0
 		for _, id := range order {
 			j, spec := jobs[id], terms.Jobs[id]
-			if a.Class != "" && spec.Class != a.Class || j.cancelled || j.first > end*9/10 {
+			if a.Class != "" && spec.Class != a.Class || j.cancelled {
 				continue
 			}
 			from := begin(jobs, spec, j)
+			within := a.Within
+			if a.Kind == "deadline" && spec.DeadlineS != nil {
+				within = int64(*spec.DeadlineS * 1e6)
+			}
+			if from+within > end {
+				continue // its time is not over
+			}
 			in := func(t, within int64) {
 				all++
 				if t != 0 && t-from <= within {
@@ -100,17 +104,17 @@
 			switch a.Kind {
 			case "accept":
 				from = j.first
-				in(j.accepted, a.Within)
+				in(j.accepted, within)
 			case "wait":
 				for i := range spec.Tasks {
-					in(j.starts[i], a.Within)
+					in(j.starts[i], within)
 				}
 			case "complete":
-				in(j.last, a.Within)
+				in(j.last, within)
 			case "deadline":
 				if spec.DeadlineS != nil {
 					from = j.first
-					in(j.last, int64(*spec.DeadlineS*1e6))
+					in(j.last, within)
 				}
 			}
 		}
@@ -121,6 +125,18 @@
 	return out
 }
 
+// Name is the aim's figure.
+func (a Aim) Name() string {
+	name := a.Kind
+	if a.Class != "" {
+		name += " " + a.Class
+	}
+	if a.Within > 0 {
+		name += fmt.Sprintf(" %g s", float64(a.Within)/1e6)
+	}
+	return name
+}
+
 // begin is when a job's time begins.
 func begin(jobs map[string]*course, spec *wire.Job, j *course) int64 {
 	t := j.first
--- /dev/null
+++ b/internal/emulator/history/measure_test.go
@@ -0,0 +1,30 @@
+package history
+
+import (
+	"maps"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// TestMeasure: shares count from the first try, or from the end of what a job
+// awaits, and only jobs whose time is over.
+func TestMeasure(t *testing.T) {
+	const s = 1_000_000
+	due := 20.0
+	terms := Terms{Jobs: map[string]*wire.Job{"a": {Class: "c", Tasks: 2}, "b": {Class: "c", Tasks: 1, Awaits: []string{"a"}, DeadlineS: &due}, "late": {Class: "c", Tasks: 1}, "gone": {Class: "c", Tasks: 1}}}
+	h := []Event{
+		{At: 1 * s, Kind: Sent, Op: Submit, Job: "a"}, {At: 2 * s, Kind: Told, Op: Submit, Job: "a"}, {At: 3 * s, Kind: Told, Op: Submit, Job: "a", Status: 201},
+		{At: 3 * s, Kind: Sent, Op: Submit, Job: "b"}, {At: 3 * s, Kind: Told, Op: Submit, Job: "b", Status: 201},
+		{At: 4 * s, Kind: Sent, Op: Submit, Job: "gone"}, {At: 4 * s, Kind: Sent, Op: Withdraw, Job: "gone"},
+		{At: 5 * s, Kind: Started, Job: "a", Task: 0}, {At: 12 * s, Kind: Started, Job: "a", Task: 1}, {At: 13 * s, Kind: Left, Job: "a", Task: 1, Why: "died"}, {At: 14 * s, Kind: Started, Job: "a", Task: 1},
+		{At: 15 * s, Kind: Completed, Job: "a", Task: 0}, {At: 20 * s, Kind: Completed, Job: "a", Task: 1},
+		{At: 22 * s, Kind: Started, Job: "b"}, {At: 25 * s, Kind: Completed, Job: "b"},
+		{At: 55 * s, Kind: Sent, Op: Submit, Job: "late"}, {At: 60 * s, Kind: Paid, Cost: 3},
+	}
+	got := Measure(h, terms, []Aim{{"wait", "c", 10 * s}, {"complete", "c", 10 * s}, {"deadline", "c", 0}, {"accept", "", 1 * s}})
+	want := map[string]float64{"wait c 10 s": 2. / 3, "complete c 10 s": 0.5, "deadline c": 0, "accept 1 s": 1. / 3, "cost": 3, "tasks_done": 3, "tasks_lost": 1, "jobs_accepted": 2, "jobs_done": 2, "accept_p50_s": 2, "accept_p99_s": 2}
+	if !maps.Equal(got, want) {
+		t.Errorf("got  %v\nwant %v", got, want)
+	}
+}
--- a/internal/emulator/sockets/serve.go
+++ b/internal/emulator/sockets/serve.go
@@ -197,8 +197,6 @@
 		d.log("a worker has no address", err)
 		return "127.0.0.1:9"
 	}
-	// Who sends orders there is not told; the leader does, so it is taken for
-	// whichever controller the machine's last token came from.
 	h := d.pass("", func() string { return name }, readWorker, d.addressed)
 	e := &endpoint{l.Addr().String(), &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
 	d.endpoints[name] = e
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -296,6 +296,11 @@
 
 // call carries a controller's request to where it goes, and the answer back.
 func (w *World) call(c Call) {
+	if m := w.cloud.machine(c.To); c.From == "" && m != nil {
+		// On sockets nobody says who sends orders to a machine: it is taken
+		// for the controller that the machine reports to.
+		c.From = w.nodes[m.at].name
+	}
 	answer := func(status int, body any) {
 		w.net.send(c.To, c.From, func() { w.emit(Answer{c.ID, c.From, status, body}) }, func() { w.emit(Answer{ID: c.ID, To: c.From}) })
 	}
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -93,7 +93,7 @@
 	switch {
 	case strings.HasSuffix(figure, "_s"):
 		return "s"
-	case strings.Contains(figure, " ") || figure == "accept":
+	case strings.Contains(figure, " "):
 		return "share"
 	}
 	return figure
--- /dev/null
+++ b/internal/experiment/stats_test.go
@@ -0,0 +1,80 @@
+package experiment
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/config"
+)
+
+func results(base, other []float64) (l []Result) {
+	for i, v := range base {
+		l = append(l, Result{Scenario: "day", Seed: uint64(i), Version: "old", Figures: map[string]float64{"wait c 5 s": v}})
+	}
+	for i, v := range other {
+		l = append(l, Result{Scenario: "day", Seed: uint64(i), Version: "new", Figures: map[string]float64{"wait c 5 s": v, "only here": 1}})
+	}
+	return l
+}
+
+// TestCompare has the bounds of Student's t from a table: 4.303 for two degrees
+// of freedom, 12.706 for one.
+func TestCompare(t *testing.T) {
+	cases := []struct {
+		name            string
+		base, other     []float64
+		mean, low, high float64
+		clear           bool
+	}{
+		{"no difference", []float64{1, 2, 3}, []float64{1, 2, 3}, 0, 0, 0, false},
+		{"the same difference in each pair", []float64{1, 5, 9}, []float64{2, 6, 10}, 1, 1, 1, true},
+		{"noise", []float64{0, 0, 0}, []float64{1, 2, 3}, 2, 2 - 4.3027/math.Sqrt(3), 2 + 4.3027/math.Sqrt(3), false},
+		{"two pairs", []float64{0, 0}, []float64{1, 3}, 2, 2 - 12.7062, 2 + 12.7062, false},
+		{"seeds that only one has are left out", []float64{0, 0, 0, 50}, []float64{1, 2, 3}, 2, 2 - 4.3027/math.Sqrt(3), 2 + 4.3027/math.Sqrt(3), false},
+		{"one pair says nothing of chance", []float64{0}, []float64{1}, 1, math.NaN(), math.NaN(), false},
+	}
+	for _, tc := range cases {
+		ds := Compare(results(tc.base, tc.other), "old")
+		if len(ds) != 1 {
+			t.Fatalf("%s: %d differences", tc.name, len(ds))
+		}
+		near := func(a, b float64) bool { return math.Abs(a-b) < 1e-3 || math.IsNaN(a) && math.IsNaN(b) }
+		if d := ds[0]; !near(d.Mean, tc.mean) || !near(d.Low, tc.low) || !near(d.High, tc.high) || d.Clear() != tc.clear {
+			t.Errorf("%s: %+v", tc.name, d)
+		}
+	}
+}
+
+// TestPlot draws a picture for each aim, and for what is named.
+func TestPlot(t *testing.T) {
+	dir := t.TempDir()
+	files, err := Plot(results([]float64{1, 0.9}, []float64{0.8, 0.7}), dir, []string{"never measured"})
+	if err != nil || len(files) != 2 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	if s, err := os.Stat(filepath.Join(dir, "wait-c-5-s.png")); err != nil || s.Size() < 1000 {
+		t.Errorf("%v", err)
+	}
+}
+
+// TestHere: a cell run twice gives the same bytes, and faults are named.
+func TestHere(t *testing.T) {
+	r := Run{Scenario: "../../scenarios/roll.txtpb", Seed: 3, Version: Head, Mode: "fake"}
+	a, b := Here(r, "", ops()), Here(r, "", ops())
+	if a.Digest != b.Digest || a.Digest == "" || len(a.Broken) > 0 || a.Figures["jobs_done"] == 0 {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+	if r.Seed++; Here(r, "", ops()).Digest == a.Digest {
+		t.Error("another seed gives the same bytes")
+	}
+	if r.Mode = "luck"; Here(r, "", ops()).Failed == "" {
+		t.Error("a mode that is not there")
+	}
+	if r.Scenario = "nowhere"; Here(r, "", ops()).Failed == "" {
+		t.Error("a scenario that is not there")
+	}
+}
+
+func ops() config.Operators { return config.Defaults() }
