--- a/internal/emulator/fake/day_test.go
+++ b/internal/emulator/fake/day_test.go
@@ -196,6 +196,7 @@
 	for i, tc := range cases {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%s/%d", tc.name, seed), func(t *testing.T) {
+				t.Parallel()
 				d := small(uint64(i)*10 + seed + 1)
 				d.Faults, d.Loss = tc.faults, tc.loss
 				d.Spot = world.Spot{PerHour: 2, Silent: 0.3, Notice: 8 * second}
@@ -227,6 +228,7 @@
 	for i, tc := range cases {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprintf("%s/%d", tc.name, seed), func(t *testing.T) {
+				t.Parallel()
 				d := small(uint64(i)*10 + seed + 201)
 				d.Length = 500 * second
 				d.tighten()
--- a/internal/emulator/fake/lose_test.go
+++ b/internal/emulator/fake/lose_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,34 +35,40 @@
 			t.Fatalf("a kind of write that is not in the table: %s", e.Key)
 		}
 	}
+	var mu sync.Mutex
 	met := map[string]int{}
-	for _, kind := range kinds {
-		for _, how := range []string{"before", "after", "late"} {
-			for _, skip := range []int{0, 1, 4} {
-				t.Run(fmt.Sprintf("%s/%s/%d", strings.Trim(kind, "/"), how, skip), func(t *testing.T) {
-					d := day()
-					l := &world.Lose{Prefix: core.Prefix + kind, Skip: skip, How: how}
-					if how == "late" {
-						l.Late = 60 * second
-					}
-					crash := at(60, "crash", 0)
-					d.Faults = []fault{{At: 59 * second, Kind: "state_lose", Lose: l}, crash}
-					switch kind {
-					case "types", "format", "member/":
-						d.Faults[0].At = 0 // they are written once, at the start
-					case "run/":
-						// Progress is stored this way until all controllers
-						// are known to have this version.
-						d.missing, d.Jobs = true, small(31).Jobs
-					}
-					d.whole(t)
-					if l.Done > skip {
-						met[kind]++
-					}
-				})
+	t.Run("each", func(t *testing.T) {
+		for _, kind := range kinds {
+			for _, how := range []string{"before", "after", "late"} {
+				for _, skip := range []int{0, 1, 4} {
+					t.Run(fmt.Sprintf("%s/%s/%d", strings.Trim(kind, "/"), how, skip), func(t *testing.T) {
+						t.Parallel()
+						d := day()
+						l := &world.Lose{Prefix: core.Prefix + kind, Skip: skip, How: how}
+						if how == "late" {
+							l.Late = 60 * second
+						}
+						crash := at(60, "crash", 0)
+						d.Faults = []fault{{At: 59 * second, Kind: "state_lose", Lose: l}, crash}
+						switch kind {
+						case "types", "format", "member/":
+							d.Faults[0].At = 0 // they are written once, at the start
+						case "run/":
+							// Progress is stored this way until all controllers
+							// are known to have this version.
+							d.missing, d.Jobs = true, small(31).Jobs
+						}
+						d.whole(t)
+						if l.Done > skip {
+							mu.Lock()
+							met[kind]++
+							mu.Unlock()
+						}
+					})
+				}
 			}
 		}
-	}
+	})
 	for _, kind := range kinds {
 		if met[kind] < 3 {
 			t.Errorf("%s: only %d were lost", kind, met[kind])
@@ -100,15 +107,18 @@
 		}
 		return h.Sum64()
 	}
-	for i := range cases {
-		seed := uint64(i) + 900
-		first := digest(i, seed)
-		if digest(i, seed) != first {
-			t.Errorf("%s: other bytes", cases[i].name)
-		}
-		if i < 3 && digest(i, seed+100) == first {
-			t.Errorf("%s: the bytes of another seed", cases[i].name)
-		}
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			seed := uint64(i) + 900
+			first := digest(i, seed)
+			if digest(i, seed) != first {
+				t.Error("other bytes")
+			}
+			if i < 3 && digest(i, seed+100) == first {
+				t.Error("the bytes of another seed")
+			}
+		})
 	}
 }
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -5,7 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"os"
+	"log/slog"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -97,11 +97,14 @@
 	tree := "."
 	if commit != Head {
 		tree = filepath.Join(dir, "tree-"+strings.ReplaceAll(commit, "/", "_"))
-		if _, err := os.Stat(tree); err != nil {
-			if b, err := exec.Command("git", "worktree", "add", "--detach", "--force", tree, commit).CombinedOutput(); err != nil {
-				return "", fmt.Errorf("version %s: %w: %s", commit, err, bytes.TrimSpace(b))
-			}
+		if b, err := exec.Command("git", "worktree", "add", "--detach", "--force", tree, commit).CombinedOutput(); err != nil {
+			return "", fmt.Errorf("version %s: %w: %s", commit, err, bytes.TrimSpace(b))
 		}
+		defer func() {
+			if err := exec.Command("git", "worktree", "remove", "--force", tree).Run(); err != nil {
+				slog.Warn("a working tree is left", "dir", tree, "err", err)
+			}
+		}()
 	}
 	cmd := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", out, "./cmd/"+command)
 	cmd.Dir = tree
