--- /dev/null
+++ b/cmd/zinclb-emulator/main.go
@@ -0,0 +1,178 @@
+// Command zinclb-emulator serves the whole world that zinclb's controllers deal
+// with on loopback: the state service, the cloud, workers, users and their
+// balancer, as a scenario has it, with faults. It ends by itself.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/scenario"
+	"github.com/zinclb/zinclb/internal/emulator/sockets"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "zinclb-emulator:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	var path, out string
+	var seed uint64
+	var length time.Duration
+	o := sockets.Options{}
+	cmd := &cobra.Command{
+		Use:           "zinclb-emulator --scenario FILE",
+		Short:         "Serves a world for zinclb on loopback, until its time is over",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if path == "" {
+				return fmt.Errorf("--scenario is missing; scenarios/ has some")
+			}
+			s, err := scenario.Load(path, seed)
+			if err != nil {
+				return err
+			}
+			if length > 0 {
+				s.Length = length.Microseconds()
+			}
+			return serve(s, o, out)
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&path, "scenario", "", "the scenario, protobuf text format")
+	f.Uint64Var(&seed, "seed", 0, "a seed other than the scenario's")
+	f.DurationVar(&length, "length", 0, "a length other than the scenario's")
+	f.StringVar(&o.Dir, "dir", "target/emulator", "gets settings and logs of controllers")
+	f.IntVar(&o.Port, "port", 7100, "the balancer's port; those of controllers follow it")
+	f.StringSliceVar(&o.Binaries, "binary", nil, "controllers' programs, given out in turn; without any they are started by hand")
+	f.StringSliceVar(&o.Args, "arg", nil, "arguments of controllers before --config")
+	f.StringVar(&out, "history", "", "writes everything that happened here, as JSON lines")
+	cmd.AddCommand(check(), fault())
+	return cmd
+}
+
+func serve(s *scenario.Scenario, o sockets.Options, out string) error {
+	o.Progress = func(p sockets.Progress) {
+		fmt.Printf("%4.0f of %.0f s: %d jobs accepted, %d tasks started, %d done\n", p.Now.Seconds(), p.Length.Seconds(), p.Accepted, p.Ran, p.Done)
+	}
+	d, err := sockets.New(s.Config, o)
+	if err != nil {
+		return err
+	}
+	end := make(chan struct{})
+	sig := make(chan os.Signal, 1)
+	signal.Notify(sig, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-sig
+		close(end)
+	}()
+	fmt.Printf("%s: %d controllers for %d s; users' address 127.0.0.1:%d\n", s.Name, s.Params.Size, s.Length/1_000_000, o.Port)
+	if len(o.Binaries) == 0 {
+		for i := range s.Params.Size {
+			fmt.Printf("start: target/zinclb --config %s\n", d.Settings(i))
+		}
+	}
+	h, err := d.Run(end)
+	if err != nil {
+		return err
+	}
+	if out != "" {
+		if err := writeHistory(out, h); err != nil {
+			return err
+		}
+	}
+	broken := append(history.Check(h, d.Terms()), history.Linear(h, d.Terms())...)
+	for _, b := range broken {
+		fmt.Printf("broken at %.1f s: %s: %s\n", float64(b.At)/1e6, b.Rule, b.What)
+	}
+	if len(broken) > 0 {
+		return fmt.Errorf("%d breaches of the rules", len(broken))
+	}
+	fmt.Printf("%d events, no rule broken\n", len(h))
+	return nil
+}
+
+func writeHistory(path string, h []history.Event) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	for _, e := range h {
+		if err := enc.Encode(e); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(path, b.Bytes(), 0o600)
+}
+
+func check() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Checks scenarios and names the fields that are wrong",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			for _, a := range args {
+				s, err := scenario.Load(a, 0)
+				if err != nil {
+					return err
+				}
+				fmt.Printf("%s: %s, %d s, %d controllers, %d jobs, %d faults\n", a, s.Name, s.Length/1_000_000, s.Params.Size, len(s.Jobs), len(s.Faults))
+			}
+			return nil
+		},
+	}
+}
+
+func fault() *cobra.Command {
+	var addr string
+	cmd := &cobra.Command{
+		Use:   "fault 'kind: \"cut\" hosts: \"zone:a\" for_s: 30'",
+		Short: "Lets a fault happen now in an emulator that is running",
+		Long:  "Lets a fault happen now in an emulator that is running. Kinds:\n" + kinds(),
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if _, err := scenario.ParseFault([]byte(args[0])); err != nil {
+				return err
+			}
+			c := http.Client{Timeout: 5 * time.Second}
+			resp, err := c.Post("http://"+addr+"/emulator/fault", "text/plain", strings.NewReader(args[0]))
+			if err != nil {
+				return err
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if b, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<16)); resp.StatusCode != 200 {
+				return fmt.Errorf("%s", strings.TrimSpace(string(b)))
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&addr, "addr", "127.0.0.1:7100", "the emulator's users' address")
+	return cmd
+}
+
+func kinds() string {
+	var b strings.Builder
+	for _, k := range world.KindNames() {
+		fmt.Fprintf(&b, "  %-16s %s\n", k, world.Kinds[k])
+	}
+	return b.String()
+}
--- a/cmd/zinclb/main.go
+++ b/cmd/zinclb/main.go
@@ -63,5 +63,10 @@
 	case "debug":
 		level = slog.LevelDebug
 	}
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("node", name))
+	o := &slog.HandlerOptions{Level: level}
+	var h slog.Handler = slog.NewTextHandler(os.Stderr, o)
+	if os.Getenv("LOG_FORMAT") == "json" {
+		h = slog.NewJSONHandler(os.Stderr, o)
+	}
+	slog.SetDefault(slog.New(h).With("node", name))
 }
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -92,6 +92,8 @@
 		{"POST", "/agent/beat", `{`, 400},
 		{"GET", "/ops/status", "", 0},
 		{"POST", "/ops/status", "", 405},
+		{"GET", "/ops/metrics", "", 0},
+		{"POST", "/ops/metrics", "", 405},
 		{"GET", "/", "", 404},
 	}
 	for _, tc := range cases {
--- a/internal/api/routes.go
+++ b/internal/api/routes.go
@@ -10,6 +10,9 @@
 // MaxBody is the largest request body.
 const MaxBody = 64 << 10
 
+// MetricsPath is where a controller's metrics are read.
+const MetricsPath = "/ops/metrics"
+
 // Slow says that Route may take long for a request.
 func Slow(m *httpwire.Message) bool { return m.Method == "POST" && m.Target == "/sweeps" }
 
@@ -33,7 +36,7 @@
 			return nil, r
 		}
 		return func(req uint64) any { return core.Ready{Req: req} }, nil
-	case path == "/ops/status":
+	case path == "/ops/status" || path == MetricsPath:
 		if r := need("GET"); r != nil {
 			return nil, r
 		}
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -42,6 +42,7 @@
 type OpsLatency struct {
 	Call    string  `json:"call"`
 	Answers int64   `json:"answers"`
+	Mean    float64 `json:"mean_ms"`
 	P50     float64 `json:"p50_ms"`
 	P95     float64 `json:"p95_ms"`
 	P99     float64 `json:"p99_ms"`
--- /dev/null
+++ b/internal/emulator/fake/day_test.go
@@ -0,0 +1,276 @@
+package fake
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+type (
+	fault = world.Fault
+	job   = world.Job
+)
+
+// day is a world, with what its controllers are set to.
+type day struct {
+	world.Config
+	ops     config.Operators
+	missing bool
+}
+
+// small is a deployment with tight limits.
+func small(seed uint64) *day {
+	d := &day{ops: config.Defaults()}
+	set := &d.Params
+	set.Size = 3
+	set.Zones = []string{"a", "b"}
+	set.Teams = []config.Team{{Name: "red", GPUs: 4, GPUsMax: 12}, {Name: "blue", GPUs: 4, GPUsMax: 10}}
+	set.Workers.ReportS, set.Workers.LeaseS, set.Workers.GangWaitS, set.Workers.GangPeerS, set.Workers.CancelS = 2.5, 16, 30, 4, 36
+	set.State.RPS, set.State.WriteRPS, set.State.ValueKB, set.State.TxnOps = 80, 25, 8, 12
+	set.Cloud.RPS, set.Cloud.ListLagS = 3, 8
+	set.ClockErrorMS = 500
+	d.Seed, d.Length = seed, 400*second
+	d.Restart, d.StateDelay, d.CloudDelay, d.Drift, d.Strays = 4*second, 3000, 50_000, 0.0005, 0.1
+	d.Types = []wire.MachineType{{Name: "big", CPUs: 12, GPUs: 2, MemGB: 48, FetchRate: 0.5, CacheGB: 50, BootS: 20, Price: 1, SpotPrice: 0.4, Zones: []string{"a", "b"}}}
+	d.up(8)
+	rng := rand.New(rand.NewPCG(seed, 9))
+	for i := range 30 {
+		j := job{At: second + rng.Int64N(180*second), Run: 4*second + rng.Int64N(30*second)}
+		s := &j.Spec
+		*s = wire.Job{ID: fmt.Sprintf("job-%02d", i), Class: "c", Team: []string{"red", "blue"}[rng.IntN(2)], Priority: []string{"idle", "normal", "urgent"}[rng.IntN(3)],
+			Image: fmt.Sprintf("im-%d", rng.IntN(2)), ImageGB: 2, EstimateS: float64(5 + rng.IntN(100)), Spot: rng.IntN(2) == 0}
+		switch rng.IntN(3) {
+		case 0:
+			s.Kind, s.Tasks, s.CPUs, s.GPUs, s.MemGB = wire.Gang, 1+rng.IntN(3), 10, 2, 30
+			s.OneZone, s.CheckpntS, s.SaveS = rng.IntN(2) == 0, 10, 2
+		case 1:
+			s.Kind, s.Tasks, s.CPUs, s.GPUs, s.MemGB = wire.Array, 1+rng.IntN(12), 4, 1, 9
+			s.Spread = rng.IntN(3) == 0
+		default:
+			s.Kind, s.Tasks, s.CPUs, s.GPUs, s.MemGB = wire.Array, 1+rng.IntN(8), 2, 0.5, 3
+		}
+		if rng.IntN(5) == 0 {
+			j.Cancel = j.At + rng.Int64N(60*second)
+		}
+		d.Jobs = append(d.Jobs, j)
+	}
+	return d
+}
+
+// up lets so many machines be there at the start, and as many more of each kind
+// in each zone be rented.
+func (d *day) up(n int) {
+	d.Machines, d.Capacity = nil, nil
+	for i, z := range d.Params.Zones {
+		d.Machines = append(d.Machines, world.Machines{Type: "big", Zone: z, Count: (n + i) / 2})
+		d.Capacity = append(d.Capacity, world.Capacity{Type: "big", Zone: z, Count: n, Spot: n / 2})
+	}
+}
+
+// piped adds pipelines of four stages to a day: some are cancelled at some
+// stage, some last stages come when the others are over, and some first stages
+// await a job of the day.
+func (d *day) piped(n int) {
+	rng := rand.New(rand.NewPCG(d.Seed, 10))
+	for i := range n {
+		id := func(k int) string { return fmt.Sprintf("pipe-%02d-%d", i, k) }
+		at := 20*second + rng.Int64N(150*second)
+		add := func(k int, kind string, tasks int, awaits ...string) *job {
+			j := job{At: at, Run: 3*second + rng.Int64N(8*second)}
+			j.Spec = wire.Job{ID: id(k), Class: "p", Team: "blue", Kind: kind, Tasks: tasks, CPUs: 1, MemGB: 0.5,
+				Priority: []string{"idle", "normal"}[k/2], Image: "im-p", ImageGB: 0.5, EstimateS: float64(j.Run) / 1e6, Awaits: awaits, OneZone: kind == wire.Gang}
+			d.Jobs = append(d.Jobs, j)
+			return &d.Jobs[len(d.Jobs)-1]
+		}
+		var first []string
+		if rng.IntN(3) == 0 {
+			first = append(first, d.Jobs[rng.IntN(5)].Spec.ID)
+		}
+		add(0, wire.Array, 1+rng.IntN(6), first...)
+		add(1, wire.Array, 1+rng.IntN(40), id(0))
+		add(2, wire.Gang, 2, id(0))
+		last := add(3, wire.Array, 2, id(1), id(2))
+		due := 60.0
+		last.Spec.DeadlineS, last.Last = &due, rng.IntN(4) == 0
+		if rng.IntN(3) == 0 {
+			d.Jobs[len(d.Jobs)-1-rng.IntN(4)].Cancel = at + rng.Int64N(40*second)
+		}
+	}
+}
+
+// tighten announces limits to come.
+func (d *day) tighten() {
+	rate, kb, ops := 18.0, 2.0, 4
+	d.Params.State.Next = &config.StateNext{WriteRPS: &rate, ValueKB: &kb, TxnOps: &ops}
+}
+
+// play plays it.
+func (d *day) play(t testing.TB, begin func(*Cluster)) *Cluster {
+	t.Helper()
+	c, err := Run(d.Config, Options{Operators: d.ops, Missing: d.missing, Begin: begin})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// breaches are the rules that a history breaks.
+func breaches(c *Cluster) (l []string) {
+	for _, b := range append(history.Check(c.History, c.Terms()), history.Linear(c.History, c.Terms())...) {
+		l = append(l, fmt.Sprintf("at %d ms %s: %s", b.At/1000, b.Rule, b.What))
+	}
+	return l
+}
+
+// whole plays a day on which every rule has to hold, and everything that was
+// accepted to come to its end.
+func (d *day) whole(t testing.TB) *Cluster {
+	t.Helper()
+	c := d.play(t, nil)
+	if l := breaches(c); len(l) > 0 {
+		t.Error(strings.Join(l, "\n"))
+	}
+	if l := c.World.Unfinished(); len(l) > 0 {
+		t.Errorf("not over at the end: %v", l)
+	}
+	return c
+}
+
+func at(s int64, kind string, forS int64, hosts ...string) fault {
+	return fault{At: s * second, For: forS * second, Kind: kind, Hosts: hosts}
+}
+
+// inTurn befalls one controller after the other.
+func inTurn(kind string, from, each, forS int64) (l []fault) {
+	for i := range int64(3) {
+		l = append(l, at(from+i*each, kind, forS, world.NodeName(int(i))))
+	}
+	return l
+}
+
+// cases of faults that every kind of day has to get through.
+var cases = []struct {
+	name   string
+	faults []fault
+	loss   float64
+}{
+	{name: "quiet"},
+	{name: "one controller crashes", faults: []fault{at(60, "crash", 0, "node-0"), at(90, "crash", 0, "node-1")}},
+	{name: "two crash at once", faults: []fault{at(70, "crash", 0, "node-0", "node-1")}},
+	{name: "all crash", faults: []fault{at(50, "crash", 0), at(120, "crash", 0)}},
+	{name: "all are restarted in turn while capacity is refused and the state service comes back cold",
+		faults: []fault{at(50, "cloud_refuse", 120), at(60, "roll", 7), at(63, "state_cold", 12), at(80, "machine_die", 0, "host-000003")}},
+	{name: "state outage", faults: []fault{at(60, "state_outage", 15)}},
+	{name: "state outage longer than hold and lease", faults: []fault{at(60, "state_outage", 45)}},
+	{name: "all crash in a state outage", faults: []fault{at(60, "state_outage", 15), at(65, "crash", 0)}},
+	{name: "the state service refuses one after the other", faults: inTurn("state_refuse", 50, 45, 40)},
+	{name: "the state service is slow", faults: []fault{{At: 50 * second, For: 60 * second, Kind: "state_slow", Factor: 100}}},
+	{name: "each is cut in turn", faults: inTurn("cut", 50, 35, 30)},
+	{name: "each stands still in turn", faults: inTurn("freeze", 50, 50, 40)},
+	{name: "controllers cannot reach each other", faults: []fault{{At: 60 * second, For: 60 * second, Kind: "cut", Hosts: []string{"controllers"}, To: []string{"controllers"}, Reset: true}}},
+	{name: "a zone is cut off", faults: []fault{at(60, "cut", 40, "zone:a")}},
+	{name: "a zone is cut off from the other zones alone", faults: []fault{{At: 60 * second, For: 60 * second, Kind: "cut", Hosts: []string{"zone:a"}, To: []string{"zone:b"}}}},
+	{name: "the leader hears no worker", faults: []fault{{At: 60 * second, For: 60 * second, Kind: "cut", Hosts: []string{"controllers"}, To: []string{"workers"}}}},
+	{name: "answers are lost and requests executed late", loss: 0.05, faults: []fault{at(100, "crash", 0, "node-1")}},
+	{name: "machines go silent and die", faults: []fault{at(40, "machine_silent", 12, "host-000000"), at(60, "machine_silent", 40, "host-000001"),
+		at(80, "machine_die", 0, "host-000002"), at(82, "crash", 0)}},
+	{name: "a third hangs for half a lease while a new leader begins", faults: []fault{at(60, "crash", 0, "node-0", "node-1"),
+		at(61, "machine_hang", 8, "host-000000", "host-000003", "host-000006")}},
+	{name: "a third dies as all controllers end", faults: []fault{at(70, "machine_die", 0, "host-000001", "host-000004", "host-000007"), at(71, "crash", 0)}},
+	{name: "a controller is cut off with a third of the machines, and another crashes", faults: []fault{
+		at(60, "cut", 35, "node-0"), at(60, "machine_silent", 35, "host-000000", "host-000002", "host-000005"), at(63, "crash", 0, "node-1")}},
+	{name: "silent machines in a cloud outage", faults: []fault{at(40, "cloud_outage", 100), at(60, "machine_silent", 30, "host-000001"), at(70, "machine_silent", 50, "host-000003")}},
+	{name: "machines fail every task", faults: []fault{at(40, "machine_faulty", 60, "host-000001", "host-000002")}},
+	{name: "spot machines are taken in a wave", faults: []fault{{At: 60 * second, Kind: "spot_wave", Share: 1}, {At: 130 * second, Kind: "spot_wave", Share: 0.5}}},
+}
+
+// TestDays plays whole days with faults.
+func TestDays(t *testing.T) {
+	for i, tc := range cases {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", tc.name, seed), func(t *testing.T) {
+				d := small(uint64(i)*10 + seed + 1)
+				d.Faults, d.Loss = tc.faults, tc.loss
+				d.Spot = world.Spot{PerHour: 2, Silent: 0.3, Notice: 8 * second}
+				d.Boot = world.Boot{Slow: 0.1, Never: 0.05}
+				d.whole(t)
+			})
+		}
+	}
+}
+
+// TestPipelines plays days with pipelines, while limits fall and controllers
+// and the state service fail.
+func TestPipelines(t *testing.T) {
+	limits := at(70, "state_limits", 0)
+	cases := []struct {
+		name   string
+		faults []fault
+		loss   float64
+	}{
+		{name: "quiet"},
+		{name: "limits fall", faults: []fault{limits}},
+		{name: "limits fall in a take-over", faults: []fault{limits, at(69, "crash", 0), at(120, "crash", 0, "node-0")}},
+		{name: "crashes", faults: []fault{limits, at(60, "crash", 0, "node-0"), at(90, "crash", 0, "node-1"), at(130, "crash", 0)}},
+		{name: "state outage", faults: []fault{limits, at(80, "state_outage", 45)}},
+		{name: "each is refused in turn", faults: append(inTurn("state_refuse", 50, 45, 40), limits)},
+		{name: "each is cut in turn", faults: append(inTurn("cut", 50, 35, 30), limits)},
+		{name: "answers are lost", loss: 0.05, faults: []fault{limits, at(100, "crash", 0, "node-1")}},
+	}
+	for i, tc := range cases {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", tc.name, seed), func(t *testing.T) {
+				d := small(uint64(i)*10 + seed + 201)
+				d.Length = 500 * second
+				d.tighten()
+				d.piped(8)
+				d.Faults, d.Loss = tc.faults, tc.loss
+				d.whole(t)
+			})
+		}
+	}
+}
+
+// TestArrays runs jobs of many chunks, up to the largest there may be, to their
+// end through a crash of all controllers, within the memory of a small one.
+func TestArrays(t *testing.T) {
+	cases := []struct {
+		name                  string
+		tasks, machines       int
+		cpus, gpus, mem       float64
+		crash, length, limits int64
+	}{
+		{"large", 3000, 8, 0.5, 0.1, 0.1, 40, 400, 0},
+		{"limits fall while it runs", 3000, 8, 0.5, 0.1, 0.1, 40, 400, 25},
+		{"huge", 100_000, 40, 0.1, 0.01, 0.01, 100, 900, 0},
+	}
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			d := small(uint64(77 + i))
+			d.Params.Teams[0].GPUsMax = 0
+			d.up(tc.machines)
+			d.Length = tc.length * second
+			d.Jobs = []job{{At: second, Run: 2 * second, Spec: wire.Job{ID: tc.name, Class: "c", Team: "red", Kind: wire.Array, Priority: "idle", Image: "i",
+				Tasks: tc.tasks, CPUs: tc.cpus, GPUs: tc.gpus, MemGB: tc.mem, EstimateS: 2}}}
+			d.Jobs[0].Spec.ID = strings.ReplaceAll(tc.name, " ", "-")
+			d.Faults = []fault{at(tc.crash, "crash", 0)}
+			if tc.limits != 0 {
+				d.tighten()
+				d.Faults = append(d.Faults, at(tc.limits, "state_limits", 0))
+			}
+			d.whole(t)
+			// The most that the heap has held: three controllers, the state
+			// service, all workers and the history at once.
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			t.Logf("heap of %d MB at most", m.HeapSys>>20)
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/fake/node.go
@@ -0,0 +1,338 @@
+package fake
+
+import (
+	"encoding/json"
+	"errors"
+
+	"github.com/zinclb/zinclb/internal/api"
+	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/core/fleet"
+	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+var errNone = errors.New("no answer")
+
+// statusError is an answer that is none.
+func failed(status int) error {
+	if status == 200 {
+		return nil
+	}
+	return errNone
+}
+
+// The patience of a controller with those it asks, as in package node.
+const (
+	commitMost  = 2 * second
+	getMost     = 3 * second / 2
+	listMost    = 5 * second
+	leaseMost   = second
+	watchWait   = 10 * second
+	watchMost   = watchWait + 3*second/2
+	cloudMost   = 4 * second
+	pingMost    = second
+	relayMost   = 3_700_000
+	forwardMost = 3_500_000
+	directMost  = 2 * second
+	afterError  = 300_000
+)
+
+// pinged is a ping between controllers.
+type pinged struct{}
+
+// message turns what reaches a controller into a message to its core, or into
+// an answer at once.
+func message(request any) (func(req uint64) any, *core.Reply) {
+	switch q := request.(type) {
+	case *wire.Report:
+		r := report(q)
+		return func(req uint64) any { return core.Beat{Req: req, Report: r} }, nil
+	case *wire.Job:
+		b, err := json.Marshal(q)
+		if err != nil {
+			panic(err) // plain structs always encode
+		}
+		s, err := api.DecodeSubmission(b)
+		if err != nil {
+			return nil, &core.Reply{Status: 400}
+		}
+		return func(req uint64) any { s.Req = req; return s }, nil
+	case wire.Sweep:
+		s, err := api.DecodeSweep([]byte(q.Text))
+		if err != nil {
+			return nil, &core.Reply{Status: 400}
+		}
+		return func(req uint64) any { s.Req = req; return s }, nil
+	case wire.Poll:
+		return func(req uint64) any { return core.Status{Req: req, ID: q.ID} }, nil
+	case wire.Withdraw:
+		return func(req uint64) any { return core.Cancel{Req: req, ID: q.ID} }, nil
+	case wire.SweepPoll:
+		return func(req uint64) any { return core.SweepStatus{Req: req, ID: q.ID} }, nil
+	case wire.SweepCancel:
+		return func(req uint64) any { return core.CancelSweep{Req: req, ID: q.ID} }, nil
+	case wire.Ready:
+		return func(req uint64) any { return core.Ready{Req: req} }, nil
+	case pinged:
+		return func(req uint64) any { return core.Pinged{Req: req} }, nil
+	case core.Beat: // relayed
+		return func(req uint64) any { q.Req = req; return q }, nil
+	case core.Submit: // the others are handed on
+		return func(req uint64) any { q.Req = req; return q }, nil
+	case core.Cancel:
+		return func(req uint64) any { q.Req = req; return q }, nil
+	case core.Status:
+		return func(req uint64) any { q.Req = req; return q }, nil
+	}
+	return nil, &core.Reply{Status: 404}
+}
+
+var states = map[string]string{core.Queued: wire.Pending, core.Running: wire.Running, ledger.Done: wire.Done, ledger.Cancelled: wire.Withdrawn}
+
+// body is what an answer tells whoever asked.
+func body(request any, r core.Reply) any {
+	switch request.(type) {
+	case *wire.Report:
+		a := wire.BeatAnswer{Token: r.Token, Leader: r.Leader}
+		for _, o := range r.Orders {
+			a.Orders = append(a.Orders, order(o))
+		}
+		return a
+	case *wire.Job, wire.Poll, wire.Withdraw, wire.Sweep, wire.SweepPoll, wire.SweepCancel:
+		switch {
+		case r.Job != nil:
+			return wire.JobAnswer{ID: r.Job.ID, State: states[r.Job.State], Done: r.Job.Done, Running: r.Job.Running}
+		case r.Sweep != nil:
+			return wire.JobAnswer{State: states[r.Sweep.State]}
+		}
+		return wire.JobAnswer{}
+	}
+	return r // another controller asked
+}
+
+var verbs = map[string]string{"start": "run", "stop": "kill", "forget": "forget"}
+
+func order(o core.Order) wire.Order {
+	return wire.Order{Op: verbs[o.Op], Task: o.Task, Attempt: uint64(o.Attempt), GraceS: float64(o.Grace) / 1e6}
+}
+
+// whys are the core's words for why tasks ended, where they are its own.
+var whys = map[string]string{"mates_gone": "peers", "incomplete": "alone", "in_use": "busy", "no_such": "unknown"}
+
+func report(q *wire.Report) core.Report {
+	r := core.Report{Machine: q.Machine, Addr: q.Addr, Type: q.Type, Zone: q.Zone, Spot: q.Spot, Session: q.Session, Seq: q.Seq, Token: q.Token, Notice: -1,
+		Tasks: make([]core.TaskReport, len(q.Tasks))}
+	if q.NoticeS != nil {
+		r.Notice = int64(*q.NoticeS * 1e6)
+	}
+	for i, t := range q.Tasks {
+		o := core.TaskReport{Name: t.Name, Attempt: t.Attempt, State: t.State, Why: t.Why, Saved: t.Saved}
+		if o.State == wire.Ended {
+			o.State = "exited"
+		}
+		if w := whys[o.Why]; w != "" {
+			o.Why = w
+		}
+		r.Tasks[i] = o
+	}
+	return r
+}
+
+// carryOut starts what a core asks for.
+func (n *Node) carryOut(e any) {
+	c, epoch := n.c, n.epoch
+	sent := c.now + 1
+	later := func(d int64, msg any) { c.After(d, func() { n.run(epoch, func() { n.step(msg) }) }) }
+	switch e := e.(type) {
+	case core.Reply:
+		if f := n.replies[e.Req]; f != nil {
+			delete(n.replies, e.Req)
+			f(e)
+		}
+	case core.List:
+		n.list(&core.Listed{}, 0, "")
+	case core.Watch:
+		n.watch(e.After, watchWait, watchMost, false)
+	case core.View:
+		n.watch(e.After, 0, watchMost-watchWait, true)
+	case core.Multi:
+		n.call(world.StateHost, multi(e), commitMost, func(status int, body any) {
+			a, _ := body.(wire.MultiAnswer)
+			n.step(core.Committed{ID: e.ID, Status: status, Ledger: a.Ledger, Failed: a.Failed})
+		})
+	case core.Get:
+		n.call(world.StateHost, wire.Get{Key: e.Key}, getMost, func(status int, body any) {
+			g := core.Got{ID: e.ID, Key: e.Key}
+			if row, ok := body.(wire.Row); ok {
+				g.Value, g.Stamp = row.Value, row.Stamp
+			} else if status != 404 {
+				g.Err = errNone
+			}
+			n.step(g)
+		})
+	case core.NewLease:
+		n.call(world.StateHost, wire.NewLease{LifeMS: e.TTL / 1000}, leaseMost, func(status int, body any) {
+			l, _ := body.(wire.Lease)
+			n.step(core.Leased{Lease: l.Lease, Sent: sent, Err: failed(status)})
+		})
+	case core.Touch:
+		n.call(world.StateHost, wire.Touch{Lease: e.Lease}, leaseMost, func(status int, _ any) {
+			t := core.Touched{Lease: e.Lease, Sent: sent, Gone: status == 404}
+			if !t.Gone {
+				t.Err = failed(status)
+			}
+			n.step(t)
+		})
+	case core.DropLease:
+		n.call(world.StateHost, wire.Drop{Lease: e.Lease}, leaseMost, func(int, any) {})
+	case core.Relay:
+		n.call(e.To, core.Beat{Report: e.Report, From: n.name}, relayMost, func(status int, body any) {
+			r, err := reply(body)
+			n.step(core.Relayed{Req: e.Req, Answer: r, Err: err})
+		})
+	case core.Forward:
+		n.call(e.To, e.Request, forwardMost, func(status int, body any) {
+			r, err := reply(body)
+			n.step(core.Forwarded{Req: e.Req, Answer: r, Err: err})
+		})
+	case core.Ping:
+		n.call(e.Peer, pinged{}, pingMost, func(status int, body any) {
+			s := core.PeerSeen{Peer: e.Peer, Sent: sent}
+			if r, err := reply(body); err == nil && r.News != nil {
+				s.OK, s.News = true, *r.News
+			}
+			n.step(s)
+		})
+	case core.Direct:
+		q := wire.Do{Token: &e.Token, Session: &e.Session}
+		for _, o := range e.Orders {
+			q.Orders = append(q.Orders, order(o))
+		}
+		n.call(e.Addr, q, directMost, func(int, any) {})
+	case core.GetTypes:
+		n.call(world.CloudHost, wire.Types{}, cloudMost, func(status int, body any) {
+			n.step(types(status, body))
+		})
+	case core.ListMachines:
+		n.machines(core.Machines{}, "", e.Gap)
+	case core.Rent:
+		q := wire.Rent{Request: e.Name, Type: e.Type, Zone: e.Zone, Spot: e.Spot, Count: e.Count}
+		n.call(world.CloudHost, q, cloudMost, func(status int, body any) {
+			names, _ := body.(wire.Names)
+			n.step(core.Rented{Rent: e, Names: names.Machines, Status: status})
+		})
+	case core.Release:
+		n.call(world.CloudHost, wire.Release{Names: wire.Names{Machines: e.Names}}, cloudMost, func(status int, _ any) {
+			n.step(core.Released{Names: e.Names, OK: status == 200})
+		})
+	case core.Expand:
+		plan, err := api.UnpackSweep(e.Stored)
+		later(20_000, core.Expanded{ID: e.ID, Plan: plan, Err: err})
+	}
+}
+
+// reply is another controller's answer.
+func reply(body any) (core.Reply, error) {
+	if r, ok := body.(core.Reply); ok {
+		return r, nil
+	}
+	return core.Reply{}, errNone
+}
+
+func multi(e core.Multi) wire.Multi {
+	var q wire.Multi
+	for _, k := range e.When {
+		q.When = append(q.When, wire.Cond(k))
+	}
+	for _, x := range e.Writes {
+		if x.Value == nil {
+			q.Writes = append(q.Writes, wire.Write{Remove: x.Key})
+		} else {
+			q.Writes = append(q.Writes, wire.Write{Put: x.Key, Value: x.Value, Lease: x.Lease})
+		}
+	}
+	return q
+}
+
+// list reads the start prefixes, page by page.
+func (n *Node) list(out *core.Listed, prefix int, after string) {
+	if prefix == len(core.StartPrefixes) {
+		n.step(*out)
+		return
+	}
+	epoch := n.epoch
+	n.call(world.StateHost, wire.List{Prefix: core.StartPrefixes[prefix], After: after, Most: core.ListPage}, listMost, func(status int, body any) {
+		p, ok := body.(wire.Page)
+		if status != 200 || !ok {
+			n.c.After(afterError, func() { n.run(epoch, func() { n.step(core.Listed{Err: errNone}) }) })
+			return
+		}
+		if prefix == 0 && after == "" {
+			out.Ledger = p.Ledger
+		}
+		for _, r := range p.Rows {
+			out.Rows = append(out.Rows, core.Change{Key: r.Key, Value: r.Value, Stamp: r.Stamp})
+			after = r.Key
+		}
+		if p.More {
+			n.list(out, prefix, after)
+		} else {
+			n.list(out, prefix+1, "")
+		}
+	})
+}
+
+func (n *Node) watch(after uint64, wait, most int64, view bool) {
+	epoch := n.epoch
+	n.call(world.StateHost, wire.Watch{Prefix: core.Prefix, After: after, WaitMS: wait / 1000}, most, func(status int, body any) {
+		w := core.Watched{After: after, View: view, Gone: status == 410}
+		if a, ok := body.(wire.WatchAnswer); ok {
+			w.Ledger = a.Ledger
+			for _, x := range a.News {
+				w.Changes = append(w.Changes, core.Change{Key: x.Key(), Value: x.Value, Stamp: x.Stamp, Removed: x.Put == ""})
+			}
+		} else if !w.Gone {
+			w.Err = errNone
+		}
+		if w.Err != nil && !view {
+			n.c.After(afterError, func() { n.run(epoch, func() { n.step(w) }) })
+			return
+		}
+		n.step(w)
+	})
+}
+
+func types(status int, body any) core.Types {
+	a, ok := body.(wire.TypesAnswer)
+	if !ok || status != 200 {
+		return core.Types{Err: errNone}
+	}
+	var t core.Types
+	for _, w := range a.Types {
+		t.Types = append(t.Types, fleet.Type{Name: w.Name, Cap: ledger.Vec{CPU: int64(w.CPUs * 1000), GPU: int64(w.GPUs * 1000), Mem: int64(w.MemGB * 1000)},
+			FetchRate: int64(w.FetchRate * 1000), CacheMB: int64(w.CacheGB * 1000), Price: w.Price, SpotPrice: w.SpotPrice, Boot: int64(w.BootS * 1e6), Zones: w.Zones})
+	}
+	return t
+}
+
+// machines reads the cloud's list, page by page with a gap between them.
+func (n *Node) machines(out core.Machines, after string, gap int64) {
+	epoch := n.epoch
+	n.call(world.CloudHost, wire.Machines{After: after, Most: core.ListPage}, cloudMost, func(status int, body any) {
+		a, ok := body.(wire.MachinesAnswer)
+		if !ok || status != 200 {
+			n.step(core.Machines{Err: errNone})
+			return
+		}
+		for _, m := range a.Machines {
+			out.List = append(out.List, core.Listing{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Status: m.Status, Age: int64(m.AgeS * 1e6)})
+			after = m.Name
+		}
+		if !a.More || len(a.Machines) == 0 {
+			n.step(out)
+			return
+		}
+		n.c.After(gap, func() { n.run(epoch, func() { n.machines(out, after, gap) }) })
+	})
+}
--- a/internal/testbed/norace_test.go
+++ b/internal/emulator/fake/norace_test.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-package testbed
+package fake
 
 // raceEnabled: the tests run many times as slow.
 const raceEnabled = false
--- /dev/null
+++ b/internal/emulator/fake/sweep_test.go
@@ -0,0 +1,368 @@
+package fake
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// forecast is the text of a sweep of a times b sets; each fit awaits its clean-up.
+func forecast(id string, a, b, pending int) string {
+	return fmt.Sprintf(`id: %q pending: %d
+		job { herd: "s" steward: "red" shape: "sweep" urgency: "normal" vcpus: 1 mem_gb: 1 seedstock: "im-s" pull_gb: 0.5 }
+		set { field: "hands" is: "1 + a %% 3" }
+		set { field: "expect_s" is: "4 + b" }
+		set { field: "awaits" is: "[run(b=0)] if b == 1 else []" }
+		parameter { name: "a" range { from: 1 to: %d } } parameter { name: "b" range { from: 0 to: %d } }`, id, pending, a, b-1)
+}
+
+// sweeping is a small day with a sweep and some other work.
+func sweeping(t testing.TB, seed uint64, s world.Sweep) *day {
+	d := small(seed)
+	d.ops.Sweeps = true
+	d.Jobs = d.Jobs[:6]
+	d.Sweeps = []world.Sweep{expand(t, s)}
+	return d
+}
+
+// expand fills in the runs of a sweep.
+func expand(t testing.TB, s world.Sweep) world.Sweep {
+	t.Helper()
+	s, err := Expand(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// accountFor plays a day to its end and checks that each run of its sweeps came to
+// one end, told the same by every controller.
+func accountFor(t *testing.T, d *day, begin func(*Cluster)) (c *Cluster, over string) {
+	t.Helper()
+	var listed [][]core.SweepRun
+	c = d.play(t, func(c *Cluster) {
+		if begin != nil {
+			begin(c)
+		}
+		c.After(d.Length-max(20*second, d.Length/10), func() {
+			for _, n := range c.Nodes {
+				for _, s := range d.Sweeps {
+					n.pages(s.ID, func(r []core.SweepRun) { listed = append(listed, r) })
+				}
+			}
+		})
+	})
+	wrong := breaches(c)
+	if len(listed) != len(c.Nodes)*len(d.Sweeps) {
+		wrong = append(wrong, fmt.Sprintf("%d controllers have listed the runs", len(listed)))
+	}
+	for i, r := range listed {
+		wrong = append(wrong, account(&d.Sweeps[i%len(d.Sweeps)], r, c.History)...)
+	}
+	for _, e := range c.History {
+		if e.Kind == history.Told && strings.HasPrefix(e.Job, "sweep:") && (e.State == wire.Done || e.State == wire.Withdrawn) {
+			over = e.State
+		}
+	}
+	if over == "" {
+		wrong = append(wrong, "the sweep is not over")
+	}
+	if len(wrong) > 0 {
+		t.Errorf("%s", strings.Join(wrong[:min(len(wrong), 12)], "\n"))
+	}
+	return c, over
+}
+
+// pages asks a controller for all runs of a sweep and calls f with them.
+func (n *Node) pages(id string, f func([]core.SweepRun)) {
+	var runs []core.SweepRun
+	var next func(after int)
+	next = func(after int) {
+		n.Request(func(req uint64) any { return core.SweepRuns{Req: req, ID: id, After: after, Most: 70} }, func(r core.Reply) {
+			if r.Runs == nil {
+				n.c.After(second, func() { next(after) })
+				return
+			}
+			runs = append(runs, r.Runs.Runs...)
+			if r.Runs.Next == 0 {
+				f(runs)
+				return
+			}
+			next(r.Runs.Next)
+		})
+	}
+	next(0)
+}
+
+// account says what is wrong with the runs of a sweep that is over: each must be
+// listed once, with its values, and have come to the end that is stored.
+func account(s *world.Sweep, runs []core.SweepRun, events []history.Event) []string {
+	var wrong []string
+	fail := func(format string, a ...any) { wrong = append(wrong, fmt.Sprintf(format, a...)) }
+	ends, created := map[string]string{}, map[string]int{}
+	there := map[string]bool{}
+	for _, e := range events {
+		if id, ok := strings.CutPrefix(e.Key, core.Prefix+"job/"); ok {
+			put := e.State == "put"
+			if put && !there[id] {
+				created[id]++
+			}
+			there[id] = put
+		}
+		if id, ok := strings.CutPrefix(e.Key, core.Prefix+"end/"); ok {
+			var end ledger.End
+			if err := json.Unmarshal([]byte(e.Value), &end); err != nil || ends[id] != "" {
+				fail("%s has a second end, or none that can be read", id)
+			}
+			ends[id] = end.Outcome
+		}
+	}
+	listed := map[int]core.SweepRun{}
+	for _, r := range runs {
+		if _, twice := listed[r.Number]; twice {
+			fail("run %d is listed twice", r.Number)
+		}
+		listed[r.Number] = r
+	}
+	if len(listed) != len(s.Jobs) {
+		fail("%d runs are listed, and there are %d", len(listed), len(s.Jobs))
+	}
+	for i, j := range s.Jobs {
+		r, ok := listed[i]
+		switch {
+		case !ok:
+			fail("run %d is not listed", i)
+		case r.ID != j.ID || string(r.Values) != s.Values[i]:
+			fail("run %d is listed as %s with %s, and is %s with %s", i, r.ID, r.Values, j.ID, s.Values[i])
+		case created[j.ID] > 1:
+			fail("run %d was created %d times", i, created[j.ID])
+		case created[j.ID] == 1 && ends[j.ID] == "":
+			fail("run %d was created and never ended", i)
+		case created[j.ID] == 1 && ends[j.ID] != r.State || created[j.ID] == 0 && r.State != ledger.Cancelled:
+			fail("run %d is listed as %s, and its end is %q", i, r.State, ends[j.ID])
+		}
+	}
+	slices.Sort(wrong)
+	return wrong
+}
+
+// TestSweeps plays sweeps of 200 runs through crashes, outages and lost answers.
+func TestSweeps(t *testing.T) {
+	random := func(seed uint64) (l []fault) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		for range 6 {
+			f := at(10+r.Int64N(120), "crash", 0)
+			if n := r.IntN(4); n < 3 {
+				f.Hosts = []string{world.NodeName(n)}
+			}
+			l = append(l, f)
+		}
+		return l
+	}
+	cases := []struct {
+		name   string
+		cancel int64
+		faults func(seed uint64) []fault
+		loss   float64
+		tight  bool
+	}{
+		{name: "quiet"},
+		{name: "controllers crash at random", faults: random},
+		{name: "cancelled halfway, while controllers crash", cancel: 45 * second, faults: random},
+		{name: "answers are lost", loss: 0.08, faults: random},
+		{name: "answers are lost, and it is cancelled", loss: 0.08, cancel: 60 * second},
+		{name: "limits fall", tight: true, faults: func(uint64) []fault {
+			return []fault{at(30, "state_limits", 0), at(40, "crash", 0)}
+		}},
+		{name: "the state service goes, and all crash", faults: func(uint64) []fault {
+			return []fault{at(35, "state_outage", 30), at(50, "crash", 0)}
+		}},
+		{name: "cancelled before an outage", cancel: 39 * second, faults: func(uint64) []fault {
+			return []fault{at(40, "state_outage", 30), at(41, "cut", 60, "node-0")}
+		}},
+	}
+	for i, tc := range cases {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/%d", tc.name, seed), func(t *testing.T) {
+				d := sweeping(t, uint64(i)*10+seed+501, world.Sweep{At: 12 * second, Run: 4 * second, Cancel: tc.cancel, Times: 10, Text: forecast("rain", 100, 2, 40)})
+				d.Length = 500 * second
+				if tc.tight {
+					d.tighten()
+				}
+				if tc.faults != nil {
+					d.Faults = tc.faults(seed)
+				}
+				d.Loss = tc.loss
+				_, over := accountFor(t, d, nil)
+				if tc.cancel == 0 && over != wire.Done {
+					t.Errorf("it is %q", over)
+				}
+			})
+		}
+	}
+}
+
+// TestSweepLargest plays 10,000 runs under the tightest limits, through three
+// crashes: values of 2 KiB, four changes a transaction, 18 a second.
+func TestSweepLargest(t *testing.T) {
+	pairs, length := 5000, int64(4500)
+	if raceEnabled || testing.Short() {
+		pairs, length = 300, 700 // it is the same code, many times as slow
+	}
+	d := sweeping(t, 11, world.Sweep{At: 12 * second, Run: 2 * second, Times: 3, Text: forecast("tight", pairs, 2, 100)})
+	d.tighten()
+	d.up(30)
+	d.Length = length * second
+	d.Faults = []fault{at(20, "state_limits", 0), at(90, "crash", 0), at(120, "crash", 0, "node-0"), at(150, "crash", 0)}
+	if _, over := accountFor(t, d, nil); over != wire.Done {
+		t.Errorf("it is %q", over)
+	}
+}
+
+// TestSweepBoundaries cancels a sweep, and ends all controllers, after each
+// change that has to do with it.
+func TestSweepBoundaries(t *testing.T) {
+	about := func(e history.Event) bool {
+		return e.Kind == history.Stored && strings.Contains(e.Key, "sweep") // its keys, and those of its runs
+	}
+	day := func() *day {
+		d := sweeping(t, 7, world.Sweep{At: 8 * second, Run: 3 * second, Text: forecast("edge", 12, 2, 8)})
+		d.Length = 240 * second
+		return d
+	}
+	boundaries := map[int64]bool{}
+	for _, e := range day().play(t, nil).History {
+		if about(e) {
+			boundaries[e.At] = true
+		}
+	}
+	if len(boundaries) < 10 {
+		t.Fatalf("only %d transactions", len(boundaries))
+	}
+	outcomes := map[string]int{}
+	for k := 1; k <= len(boundaries); k++ {
+		t.Run(fmt.Sprint(k), func(t *testing.T) {
+			_, over := accountFor(t, day(), func(c *Cluster) {
+				n, last := 0, int64(0)
+				c.Seen = func(e history.Event) {
+					if !about(e) || e.At == last {
+						return
+					}
+					last = e.At
+					if n++; n == k {
+						c.After(1, func() { c.World.CancelSweep("edge") })
+						c.After(int64(k%3)*20_000, func() {
+							if err := c.Befall(at(0, "crash", 0)); err != nil {
+								t.Error(err)
+							}
+						})
+					}
+				}
+			})
+			outcomes[over]++
+		})
+	}
+	if outcomes[wire.Withdrawn] < len(boundaries)/2 {
+		t.Errorf("outcomes %v", outcomes)
+	}
+}
+
+// TestAccountCatches plants faults of accounting.
+func TestAccountCatches(t *testing.T) {
+	sweep := &world.Sweep{Jobs: []wire.Job{{ID: "sweep.s.0", Tasks: 1}, {ID: "sweep.s.1", Tasks: 1}}, Values: []string{`{"a":1}`, `{"a":2}`}}
+	put := func(key, value string) history.Event {
+		return history.Event{Kind: history.Stored, Key: core.Prefix + key, Value: value, State: "put"}
+	}
+	gone := func(key string) history.Event {
+		return history.Event{Kind: history.Stored, Key: core.Prefix + key, State: "removed"}
+	}
+	done := `{"o":"done","n":1}`
+	good := []history.Event{put("job/sweep.s.0", "{}"), put("job/sweep.s.1", "{}"), put("end/sweep.s.0", done), gone("job/sweep.s.0"), put("end/sweep.s.1", done), gone("job/sweep.s.1")}
+	runs := []core.SweepRun{{Number: 0, ID: "sweep.s.0", State: ledger.Done, Values: json.RawMessage(sweep.Values[0])}, {Number: 1, ID: "sweep.s.1", State: ledger.Done, Values: json.RawMessage(sweep.Values[1])}}
+	cases := []struct {
+		name  string
+		runs  []core.SweepRun
+		log   []history.Event
+		wants string
+	}{
+		{"all is well", runs, good, ""},
+		{"a run is created twice", runs, append(slices.Clone(good), put("job/sweep.s.0", "{}")), "created 2 times"},
+		{"a run is lost", runs, append(slices.Clone(good[:4]), gone("job/sweep.s.1")), "never ended"},
+		{"a run is not listed", runs[:1], good, "run 1 is not listed"},
+		{"a run is listed twice", append(slices.Clone(runs), runs[0]), good, "run 0 is listed twice"},
+		{"a run has another's values", []core.SweepRun{runs[0], {Number: 1, ID: "sweep.s.1", State: ledger.Done, Values: json.RawMessage(sweep.Values[0])}}, good, "run 1 is listed as"},
+		{"a run is called done and was never created", runs, good[:0], "its end is"},
+		{"a run ends twice", runs, append(slices.Clone(good), put("end/sweep.s.0", done)), "a second end"},
+	}
+	for _, tc := range cases {
+		got := strings.Join(account(sweep, tc.runs, tc.log), "; ")
+		if tc.wants == "" && got != "" || tc.wants != "" && !strings.Contains(got, tc.wants) {
+			t.Errorf("%s: %q", tc.name, got)
+		}
+	}
+}
+
+// BenchmarkSweeps is what runs cost as a sweep and as jobs submitted singly, in
+// fake time: changes of the state service and seconds until all are done, and how
+// long ordinary submissions take meanwhile.
+func BenchmarkSweeps(b *testing.B) {
+	for _, n := range []int{200, 2000, 10_000} {
+		for _, as := range []string{"none", "sweep", "jobs"} {
+			b.Run(fmt.Sprint(n, "/", as), func(b *testing.B) {
+				for b.Loop() {
+					d := small(3)
+					d.ops.Sweeps = true
+					d.Params.State.RPS, d.Params.State.WriteRPS, d.Params.State.TxnOps = 250, 100, 48
+					d.up(40)
+					d.Jobs = nil
+					d.Length = int64(60+n/4) * second
+					for k := range 200 {
+						spec := wire.Job{ID: fmt.Sprintf("job-%03d", k), Class: "c", Image: "i", Priority: "normal", Team: "blue", Kind: wire.Array, Tasks: 1, CPUs: 0.5, EstimateS: 1}
+						d.Jobs = append(d.Jobs, job{At: 20*second + int64(k)*d.Length/260, Run: second, Spec: spec})
+					}
+					s := expand(b, world.Sweep{At: 15 * second, Run: 2 * second, Text: forecast("many", n/2, 2, 400)})
+					switch as {
+					case "sweep":
+						d.Sweeps = []world.Sweep{s}
+					case "jobs":
+						for i, spec := range s.Jobs {
+							spec.ID, spec.Awaits = fmt.Sprintf("run-%05d", i), nil
+							d.Jobs = append(d.Jobs, job{At: 15*second + int64(i)*second/40, Run: 2 * second, Spec: spec})
+						}
+					}
+					c := d.play(b, nil)
+					changes, last := 0, int64(0)
+					first, took := map[string]int64{}, []int64{}
+					for _, e := range c.History {
+						switch {
+						case e.Kind == history.Stored:
+							changes++
+							if strings.HasPrefix(e.Key, core.Prefix+"end/") && !strings.HasPrefix(e.Key, core.Prefix+"end/job-") {
+								last = e.At
+							}
+						case !strings.HasPrefix(e.Job, "job-") || e.Op != history.Submit:
+						case e.Kind == history.Sent && first[e.Job] == 0:
+							first[e.Job] = e.At
+						case e.Kind == history.Told && e.Status == 201:
+							took = append(took, e.At-first[e.Job])
+						}
+					}
+					slices.Sort(took)
+					b.ReportMetric(float64(changes), "changes")
+					b.ReportMetric(float64(last)/1e6-15, "s-until-done")
+					b.ReportMetric(float64(took[len(took)/2])/1e3, "ms-accept-p50")
+					b.ReportMetric(float64(took[len(took)*99/100])/1e3, "ms-accept-p99")
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/history/history.go
@@ -0,0 +1,88 @@
+// Package history is what happened in an emulated world, as one list of events,
+// and the rules that it must keep. Both drivers of the model record the same
+// events, and nothing here depends on how they came about.
+package history
+
+import (
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// Kind says what an event is.
+type Kind string
+
+// The kinds of events.
+const (
+	// Sent is a user's request (Op, Job, Call), Told its answer: Status is 0
+	// if none came in time.
+	Sent Kind = "sent"
+	Told Kind = "told"
+	// Up is a machine that begins to report, with Type, Zone and Spot.
+	Up Kind = "up"
+	// Entered: a task has its image and is on its machine. Started: it runs
+	// (a gang: all of its tasks do). Completed: its work is done. Left: it is
+	// on the machine no more, Why says for what reason.
+	Entered   Kind = "entered"
+	Started   Kind = "started"
+	Completed Kind = "completed"
+	Left      Kind = "left"
+	// Stored is a change of a key of the state service.
+	Stored Kind = "stored"
+	// Fault is a fault that begins or ends, Node a controller's start or end.
+	Fault Kind = "fault"
+	Node  Kind = "node"
+	// Paid is what a machine has cost when it is gone or at the end.
+	Paid Kind = "paid"
+)
+
+// Ops of users' requests.
+const (
+	Submit   = "submit"
+	Poll     = "poll"
+	Withdraw = "withdraw"
+)
+
+// Event is one thing that happened. Which fields have a meaning depends on Kind.
+type Event struct {
+	At      int64   `json:"at"`
+	Kind    Kind    `json:"kind"`
+	Op      string  `json:"op,omitempty"`
+	Call    uint64  `json:"call,omitempty"`
+	Job     string  `json:"job,omitempty"`
+	Task    int     `json:"task,omitempty"`
+	Attempt uint64  `json:"attempt,omitempty"`
+	Machine string  `json:"machine,omitempty"`
+	Type    string  `json:"type,omitempty"`
+	Zone    string  `json:"zone,omitempty"`
+	Spot    bool    `json:"spot,omitempty"`
+	Node    string  `json:"node,omitempty"`
+	Status  int     `json:"status,omitempty"`
+	State   string  `json:"state,omitempty"`
+	Why     string  `json:"why,omitempty"`
+	Key     string  `json:"key,omitempty"`
+	Value   string  `json:"value,omitempty"`
+	Cost    float64 `json:"cost,omitempty"`
+}
+
+// Terms are what the rules are judged by.
+type Terms struct {
+	Jobs map[string]*wire.Job
+	// Sweeps has the runs of each sweep, which are submitted and withdrawn
+	// with it.
+	Sweeps map[string][]string
+	Teams  map[string]Limits
+	// Cancel is how long tasks of a cancelled job may stay, in microseconds.
+	Cancel int64
+}
+
+// SweepJob is the name under which requests about a sweep are recorded.
+func SweepJob(id string) string { return "sweep:" + id }
+
+// Limits of a team; 0 is none.
+type Limits struct{ CPUs, GPUs float64 }
+
+// Breach is a rule broken.
+type Breach struct {
+	At   int64  `json:"at"`
+	Rule string `json:"rule"`
+	What string `json:"what"`
+}
--- /dev/null
+++ b/internal/emulator/history/history_test.go
@@ -0,0 +1,93 @@
+package history
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// TestCatches plants a breach of each rule into a history that breaks none.
+func TestCatches(t *testing.T) {
+	const s = 1_000_000
+	b := "b"
+	terms := func() Terms {
+		return Terms{Cancel: 36 * s, Teams: map[string]Limits{"red": {GPUs: 12}}, Jobs: map[string]*wire.Job{
+			"j":     {ID: "j", Team: "red", Kind: wire.Array, Tasks: 2, GPUs: 1, Spot: true},
+			"g":     {ID: "g", Team: "red", Kind: wire.Gang, Tasks: 2, GPUs: 1, Spot: true},
+			"next":  {ID: "next", Team: "red", Kind: wire.Array, Tasks: 1, Spot: true, Awaits: []string{"j"}},
+			"after": {ID: "after", Team: "red", Kind: wire.Array, Tasks: 1, Spot: true, Awaits: []string{"next"}},
+		}}
+	}
+	call := uint64(100)
+	ask := func(at int64, op, job string, status int, state string) []Event {
+		call++
+		return []Event{{At: at, Kind: Sent, Op: op, Job: job, Call: call}, {At: at + 1000, Kind: Told, Op: op, Job: job, Call: call, Status: status, State: state}}
+	}
+	up := func(m, zone string) Event {
+		return Event{Kind: Up, Machine: m, Type: "big", Zone: zone, Spot: m == "m2"}
+	}
+	on := func(k Kind, at int64, job string, task int, machine string) Event {
+		return Event{At: at, Kind: k, Job: job, Task: task, Machine: machine, Attempt: 1}
+	}
+	good := append([]Event{up("m0", "a"), up("m1", "b"), up("m2", "a")}, ask(1, Submit, "j", 201, wire.Pending)...)
+	good = append(good, on(Entered, 2*s, "j", 0, "m0"), on(Left, 3*s, "j", 0, "m0"))
+	cases := []struct {
+		rule  string
+		tasks func(*wire.Job)
+		plant [][]Event
+	}{
+		{rule: "ran_twice", plant: [][]Event{{on(Entered, 4*s, "j", 0, "m0"), on(Entered, 5*s, "j", 0, "m2")}}},
+		{rule: "quota", tasks: func(j *wire.Job) { j.GPUs = 100 }},
+		{rule: "wrong_place", tasks: func(j *wire.Job) { j.Zone = &b }},
+		{rule: "wrong_place", tasks: func(j *wire.Job) { j.Types = []string{"small"} }},
+		{rule: "wrong_place", tasks: func(j *wire.Job) { j.Spot = false }, plant: [][]Event{{on(Entered, 4*s, "j", 1, "m2")}}},
+		{rule: "wrong_place", tasks: func(j *wire.Job) { j.OneZone = true }, plant: [][]Event{{on(Entered, 4*s, "j", 0, "m0"), on(Entered, 4*s, "j", 1, "m1")}}},
+		{rule: "wrong_place", tasks: func(j *wire.Job) { j.Spread = true }, plant: [][]Event{{on(Entered, 4*s, "j", 0, "m0"), on(Entered, 4*s, "j", 1, "m2")}}},
+		{rule: "ran_cancelled", plant: [][]Event{{on(Entered, 4*s, "j", 0, "m0")}, ask(5*s, Withdraw, "j", 200, wire.Withdrawn), {{At: 60 * s, Kind: Fault}}}},
+		{rule: "ran_cancelled", plant: [][]Event{ask(5*s, Withdraw, "j", 200, wire.Withdrawn), {on(Entered, 50*s, "j", 0, "m0")}}},
+		{rule: "forgotten", plant: [][]Event{ask(5*s, Poll, "j", 404, "")}},
+		{rule: "forgotten", plant: [][]Event{ask(5*s, Submit, "j", 422, "")}},
+		{rule: "forgotten", plant: [][]Event{ask(70*s, Poll, "j", 503, ""), ask(80*s, Poll, "j", 0, ""), ask(85*s, Poll, "j", 0, ""), ask(94*s, Poll, "g", 404, ""), ask(95*s, Poll, "j", 503, "")}},
+		{rule: "invented", plant: [][]Event{ask(5*s, Poll, "other", 200, wire.Pending)}},
+		{rule: "invented", plant: [][]Event{{on(Entered, 4*s, "other", 0, "m0")}}},
+		{rule: "not_done", plant: [][]Event{{on(Completed, 4*s, "j", 0, "m0")}, ask(5*s, Poll, "j", 200, wire.Done)}},
+		{rule: "went_back", plant: [][]Event{{on(Completed, 4*s, "j", 0, "m0"), on(Completed, 4*s, "j", 1, "m0")}, ask(5*s, Poll, "j", 200, wire.Done), ask(6*s, Poll, "j", 200, wire.Running)}},
+		{rule: "went_back", plant: [][]Event{ask(5*s, Poll, "j", 200, wire.Withdrawn)}},
+		{rule: "too_early", plant: [][]Event{ask(3*s, Submit, "next", 201, wire.Pending), {on(Completed, 4*s, "j", 0, "m0"), on(Entered, 5*s, "next", 0, "m0")}}},
+		{rule: "orphaned", plant: [][]Event{ask(3*s, Submit, "next", 201, wire.Pending), ask(3*s, Submit, "after", 201, wire.Pending), ask(5*s, Withdraw, "j", 200, wire.Withdrawn), ask(50*s, Poll, "after", 200, wire.Pending)}},
+		{rule: "part_of_gang", plant: [][]Event{ask(3*s, Submit, "g", 201, wire.Pending), {on(Entered, 4*s, "g", 0, "m0"), on(Started, 5*s, "g", 0, "m0")}, ask(6*s, Poll, "g", 200, wire.Running)}},
+		{rule: "nothing_ran"},
+		// What only the order of requests and answers shows.
+		{rule: "not_linear", plant: [][]Event{ask(5*s, Poll, "j", 404, "")}},
+		{rule: "not_linear", plant: [][]Event{ask(5*s, Withdraw, "j", 503, ""), ask(6*s, Poll, "j", 200, wire.Withdrawn), ask(8*s, Poll, "j", 200, wire.Pending)}},
+		{rule: "not_linear", plant: [][]Event{ask(5*s, Withdraw, "j", 200, wire.Done)}},
+		{rule: "not_linear", plant: [][]Event{ask(5*s, Withdraw, "j", 200, wire.Withdrawn), ask(9*s, Submit, "j", 200, wire.Running)}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.rule, func(t *testing.T) {
+			all := func(h []Event, terms Terms) (l []string) {
+				for _, b := range append(Check(h, terms), Linear(h, terms)...) {
+					l = append(l, b.Rule)
+				}
+				return l
+			}
+			if l := all(good, terms()); len(l) != 0 {
+				t.Fatalf("before the breach: %v", l)
+			}
+			h, limits := good, terms()
+			if tc.rule == "nothing_ran" {
+				h = good[:5]
+			}
+			for _, p := range tc.plant {
+				h = append(h[:len(h):len(h)], p...)
+			}
+			if tc.tasks != nil {
+				tc.tasks(limits.Jobs["j"])
+			}
+			if l := all(h, limits); !strings.Contains(strings.Join(l, " "), tc.rule) {
+				t.Errorf("not caught; found only %v", l)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/emulator/history/linear.go
@@ -0,0 +1,159 @@
+package history
+
+import (
+	"math"
+	"strings"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// What a job is, to its users: it is not there, it is accepted, or it has its
+// end. It gets that end at some moment after its last task has completed, or
+// when it is withdrawn.
+const (
+	absent = iota
+	accepted
+	over
+	withdrawn
+)
+
+// asked and got are a request and its answer; finish is the job's own end.
+type (
+	asked struct{ op, job string }
+	got   struct {
+		status int
+		state  string
+	}
+)
+
+const finish = "finish"
+
+// Linear says whether acceptance, withdrawal and ends of each job could have
+// happened one after the other, each between its request and its answer, and
+// names the jobs of which they could not. A request without an answer may take
+// effect at any later time. Jobs that await others are left out: they end with
+// those.
+func Linear(events []Event, terms Terms) (broken []Breach) {
+	var ops []porcupine.Operation
+	sent := map[uint64]Event{}
+	left := map[string]int{}
+	// Of requests without an answer the first of its kind is enough: what a
+	// later one could do it can have done, and neither does it twice. All of
+	// them would make the search grow beyond measure.
+	open := map[asked]bool{}
+	unknown := func(op, job string, at int64) {
+		if q := (asked{op, job}); op != Poll && !open[q] {
+			open[q] = true
+			ops = append(ops, porcupine.Operation{Input: q, Call: at, Output: got{}, Return: math.MaxInt64})
+		}
+	}
+	tied := func(id string) bool {
+		s := terms.Jobs[id]
+		return s != nil && len(s.Awaits) > 0 || strings.HasPrefix(id, "sweep")
+	}
+	for _, e := range events {
+		switch e.Kind {
+		case Sent:
+			sent[e.Call] = e
+		case Told:
+			s, ok := sent[e.Call]
+			if !ok || tied(e.Job) {
+				continue
+			}
+			delete(sent, e.Call)
+			switch e.Status {
+			case 200, 201, 404:
+				ops = append(ops, porcupine.Operation{Input: asked{e.Op, e.Job}, Call: s.At, Output: got{e.Status, e.State}, Return: e.At})
+			case 400, 422:
+			default:
+				unknown(e.Op, e.Job, s.At)
+			}
+		case Completed:
+			if n, ok := left[e.Job]; !ok {
+				if s := terms.Jobs[e.Job]; s != nil {
+					left[e.Job] = s.Tasks - 1
+				}
+			} else {
+				left[e.Job] = n - 1
+			}
+			if left[e.Job] == 0 && !tied(e.Job) {
+				ops = append(ops, porcupine.Operation{Input: asked{finish, e.Job}, Call: e.At, Output: got{}, Return: math.MaxInt64})
+			}
+		}
+	}
+	for _, e := range events { // those that are under way at the end
+		if _, ok := sent[e.Call]; ok && e.Kind == Sent && !tied(e.Job) {
+			unknown(e.Op, e.Job, e.At)
+		}
+	}
+	for _, part := range byJob(ops) {
+		if !porcupine.CheckOperations(model(), part) {
+			last := part[len(part)-1]
+			broken = append(broken, Breach{last.Call, "not_linear", last.Input.(asked).job})
+		}
+	}
+	return broken
+}
+
+// byJob splits operations by their jobs, in the order of their first ones.
+func byJob(ops []porcupine.Operation) [][]porcupine.Operation {
+	at := map[string]int{}
+	var parts [][]porcupine.Operation
+	for _, o := range ops {
+		id := o.Input.(asked).job
+		i, ok := at[id]
+		if !ok {
+			i = len(parts)
+			at[id] = i
+			parts = append(parts, nil)
+		}
+		parts[i] = append(parts[i], o)
+	}
+	return parts
+}
+
+// model is one job.
+func model() porcupine.Model {
+	return porcupine.Model{
+		Init:  func() any { return absent },
+		Equal: func(a, b any) bool { return a == b },
+		Step: func(state, in, out any) (bool, any) {
+			s, q, a := state.(int), in.(asked), out.(got)
+			switch q.op {
+			case finish:
+				if s == accepted {
+					s = over
+				}
+				return true, s
+			case Submit:
+				s = max(s, accepted)
+			case Withdraw:
+				if s == accepted {
+					s = withdrawn
+				}
+			}
+			return fits(s, a), s
+		},
+	}
+}
+
+// fits says whether an answer fits a state. One without a status came never.
+func fits(s int, a got) bool {
+	switch {
+	case a.status == 0:
+		return true
+	case a.status == 404:
+		return s == absent
+	}
+	switch a.state {
+	case wire.Done:
+		return s == over
+	case wire.Withdrawn:
+		return s == withdrawn
+	case wire.Pending, wire.Running:
+		return s == accepted
+	}
+	return true
+}
--- /dev/null
+++ b/internal/emulator/scenario/load.go
@@ -0,0 +1,177 @@
+package scenario
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/zinclb/zinclb/internal/config"
+	pb "github.com/zinclb/zinclb/internal/emulator/scenario/scenariopb"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// mostJobs bounds what a scenario submits.
+const mostJobs = 200_000
+
+var kindNames = map[pb.Load_Kind]string{pb.Load_ARRAY: wire.Array, pb.Load_GANG: wire.Gang, pb.Load_SERVICE: wire.Service}
+
+// firstID is the number of the first job, so that whoever submits some by hand
+// has the lower ones.
+const firstID = 100_001
+
+// loads draws the jobs of all loads and numbers them in the order of arrival.
+func (r *reader) loads(m *pb.Scenario, s *Scenario) {
+	var jobs []world.Job
+	chains := map[int][]int{} // the first of a chain, by its place in jobs
+	for i, l := range m.Load {
+		f := fmt.Sprintf("load[%d]", i)
+		rng := rand.New(rand.NewPCG(s.Seed, uint64(100+i)))
+		if l.GetClass() == "" {
+			r.bad(f+".class", "missing")
+		}
+		teams := l.Teams
+		if len(teams) == 0 {
+			teams = []string{s.Params.Teams[0].Name}
+		}
+		for _, t := range teams {
+			if s.Params.Team(t) == nil {
+				r.bad(f+".teams", "no team is called %q", t)
+			}
+		}
+		if l.Zone != nil && !slices.Contains(s.Params.Zones, l.GetZone()) {
+			r.bad(f+".zone", "no zone is called %q", l.GetZone())
+		}
+		tasks, run, image := r.amount(f+".tasks", l.Tasks, 1), r.amount(f+".run_s", l.RunS, 30), r.amount(f+".image_gb", l.ImageGb, 1)
+		sizes := make([]float64, max(1, l.GetImages()))
+		for k := range sizes {
+			sizes[k] = math.Round(image(rng)*100) / 100
+		}
+		wrong := r.num(f+".estimate_error", l.EstimateError, 0.3, 0, 10)
+		cancelled := r.num(f+".cancelled", l.Cancelled, 0, 0, 1)
+		for _, at := range r.arrivals(f, l, s.Length, rng) {
+			n := max(1, int(math.Round(tasks(rng))))
+			runS := max(0.1, run(rng))
+			img := int(float64(len(sizes)) * math.Pow(rng.Float64(), 2)) // the first ones are the most wanted
+			j := world.Job{At: at, Run: config.Secs(runS), Spec: wire.Job{Class: l.GetClass(), Team: teams[rng.IntN(len(teams))], Kind: kindNames[l.GetKind()],
+				Priority: []string{"normal", "idle", "urgent", "production"}[l.GetPriority()], Tasks: min(n, 100_000),
+				CPUs: r.num(f+".cpus", l.Cpus, 1, 0.001, 1e4), GPUs: r.num(f+".gpus", l.Gpus, 0, 0, 1e3), MemGB: r.num(f+".memory_gb", l.MemoryGb, 1, 0, 1e5),
+				Image: fmt.Sprintf("%s-%d", l.GetClass(), img), ImageGB: sizes[img], Types: l.Types, Zone: l.Zone,
+				OneZone: l.GetOneZone(), Spread: l.GetSpread(), Spot: l.GetSpot(), CheckpntS: l.GetCheckpointS(), SaveS: l.GetSaveS()}}
+			if l.GetKind() != pb.Load_SERVICE {
+				j.Spec.EstimateS = math.Round(100*runS*math.Exp(rng.NormFloat64()*wrong)) / 100
+			}
+			if d := l.GetDeadline(); d > 0 {
+				due := d * j.Spec.EstimateS
+				j.Spec.DeadlineS = &due
+			}
+			if rng.Float64() < cancelled {
+				j.Cancel = at + rng.Int64N(60_000_000) + 1
+			}
+			for k := range max(1, l.GetChain()) {
+				if k > 0 {
+					chains[len(jobs)] = []int{len(jobs) - 1}
+				}
+				jobs = append(jobs, j)
+			}
+			if len(jobs) > mostJobs {
+				r.bad(f+".per_minute", "more than %d jobs", mostJobs)
+				return
+			}
+		}
+	}
+	order := make([]int, len(jobs))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(jobs[a].At, jobs[b].At) })
+	for n, i := range order {
+		jobs[i].Spec.ID = fmt.Sprintf("req-%06d", firstID+n)
+	}
+	for i, before := range chains {
+		for _, b := range before {
+			jobs[i].Spec.Awaits = append(jobs[i].Spec.Awaits, jobs[b].Spec.ID)
+		}
+	}
+	for _, i := range order {
+		s.Jobs = append(s.Jobs, jobs[i])
+	}
+}
+
+// arrivals are the times at which a load's jobs are submitted: a Poisson
+// process, so many at the start, and more of them in a burst.
+func (r *reader) arrivals(f string, l *pb.Load, length int64, rng *rand.Rand) (at []int64) {
+	from := r.secs(f+".from_s", l.FromS, 1)
+	until := length
+	if d := r.secs(f+".for_s", l.ForS, 0); d > 0 {
+		until = min(length, from+d)
+	}
+	for range r.count(f+".initial", l.Initial, 0, 0, 100_000) {
+		at = append(at, from+rng.Int64N(1_000_000))
+	}
+	rate := r.num(f+".per_minute", l.PerMinute, 0, 0, 1e6) / 60e6 // per microsecond
+	if rate == 0 {
+		return at
+	}
+	factor := func(t int64) float64 {
+		v := 1.0
+		for _, b := range l.Burst {
+			if b0 := config.Secs(b.GetAtS()); t >= b0 && t < b0+config.Secs(b.GetForS()) {
+				v *= b.GetFactor()
+			}
+		}
+		return v
+	}
+	most := 1.0
+	for i, b := range l.Burst {
+		most = max(most, r.num(fmt.Sprintf("%s.burst[%d].factor", f, i), b.Factor, 1, 0, 1000))
+	}
+	// By thinning a process of the highest rate.
+	for t := from; len(at) < mostJobs; {
+		t += int64(rng.ExpFloat64()/(rate*most)) + 1
+		if t >= until {
+			break
+		}
+		if rng.Float64()*most < factor(t) {
+			at = append(at, t)
+		}
+	}
+	return at
+}
+
+// amount draws from a distribution.
+func (r *reader) amount(field string, a *pb.Amount, or float64) func(*rand.Rand) float64 {
+	if a == nil {
+		return func(*rand.Rand) float64 { return or }
+	}
+	if len(a.Sizes) > 0 {
+		if len(a.Weights) != 0 && len(a.Weights) != len(a.Sizes) {
+			r.bad(field+".weights", "%d for %d sizes", len(a.Weights), len(a.Sizes))
+			return func(*rand.Rand) float64 { return or }
+		}
+		return func(rng *rand.Rand) float64 {
+			if len(a.Weights) == 0 {
+				return a.Sizes[rng.IntN(len(a.Sizes))]
+			}
+			sum := 0.0
+			for _, w := range a.Weights {
+				sum += w
+			}
+			x := rng.Float64() * sum
+			for i, w := range a.Weights {
+				if x -= w; x < 0 {
+					return a.Sizes[i]
+				}
+			}
+			return a.Sizes[len(a.Sizes)-1]
+		}
+	}
+	median := r.num(field+".median", a.Median, or, 0.001, 1e6)
+	p95 := r.num(field+".p95", a.P95, median, median, 1e6)
+	most := r.num(field+".max", a.Max, math.Inf(1), 0.001, 1e6)
+	const z95 = 1.6449
+	sigma := math.Log(p95/median) / z95
+	return func(rng *rand.Rand) float64 { return min(median*math.Exp(rng.NormFloat64()*sigma), most) }
+}
--- /dev/null
+++ b/internal/emulator/sockets/proc.go
@@ -0,0 +1,223 @@
+package sockets
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// proc is a controller: its addresses, and its process if it has one here.
+type proc struct {
+	d           *Driver
+	index       int
+	name        string
+	front, back string
+	cmd         *exec.Cmd
+	// run numbers its processes, so that the end of one is not taken for that
+	// of the next.
+	run int
+}
+
+// listen opens all addresses and writes the controllers' settings.
+func (d *Driver) listen() error {
+	size := d.cfg.Params.Size
+	if _, err := d.serve(loopback(d.Port), d.balance); err != nil {
+		return err
+	}
+	for i := range size {
+		d.nodes = append(d.nodes, &proc{d: d, index: i, name: world.NodeName(i), front: loopback(d.Port + 1 + i), back: loopback(d.Port + 1 + size + i)})
+	}
+	for i, n := range d.nodes {
+		state, err := d.serve("127.0.0.1:0", d.pass(n.name, func() string { return world.StateHost }, readState, nil))
+		if err != nil {
+			return err
+		}
+		cloud, err := d.serve("127.0.0.1:0", d.pass(n.name, func() string { return world.CloudHost }, readCloud, d.addressed))
+		if err != nil {
+			return err
+		}
+		p := config.Platform{Name: n.name, Zone: d.cfg.NodeZone(i), Front: n.front, Back: n.back, Outside: config.Outside{State: state, Cloud: cloud}, Params: d.cfg.Params}
+		for k, o := range d.nodes {
+			if k != i {
+				addr, err := d.between(n, o)
+				if err != nil {
+					return err
+				}
+				p.Peers = append(p.Peers, config.Peer{Name: o.name, Zone: d.cfg.NodeZone(k), Addr: addr})
+			}
+		}
+		if err := p.Check(); err != nil {
+			return fmt.Errorf("settings of %s: %w", n.name, err)
+		}
+		b, err := json.MarshalIndent(p, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(d.Settings(i), b, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// begin starts the controller's process. One that ends by itself is started
+// again after the world's time for that.
+func (n *proc) begin() {
+	d := n.d
+	if len(d.Binaries) == 0 { // whoever started it keeps it running
+		d.step(world.NodeUp{Node: n.name, Up: true})
+		return
+	}
+	n.run++
+	run := n.run
+	out, err := os.OpenFile(filepath.Join(d.Dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		d.log("a controller's log", err)
+		return
+	}
+	cmd := exec.Command(d.Binaries[n.index%len(d.Binaries)], append(append([]string{}, d.Args...), "--config", d.Settings(n.index))...)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		d.log("start "+n.name, err)
+		_ = out.Close()
+		return
+	}
+	n.cmd = cmd
+	d.step(world.NodeUp{Node: n.name, Up: true})
+	d.stopped.Add(1)
+	go func() {
+		defer d.stopped.Done()
+		_ = cmd.Wait() // how it ended does not matter
+		_ = out.Close()
+		d.do(func() {
+			if n.run != run {
+				return
+			}
+			d.log(n.name, fmt.Errorf("it has ended by itself: %s", cmd.ProcessState))
+			d.step(world.NodeUp{Node: n.name})
+			time.AfterFunc(time.Duration(d.cfg.Restart)*time.Microsecond, func() {
+				d.do(func() {
+					if n.run == run {
+						n.begin()
+					}
+				})
+			})
+		})
+	}()
+}
+
+// kill ends its process; the world knows.
+func (n *proc) kill() {
+	n.run++
+	if n.cmd != nil {
+		_ = n.cmd.Process.Kill() // it may have ended already
+		n.cmd = nil
+	}
+}
+
+func (n *proc) freeze(on bool) {
+	if n.cmd == nil {
+		return
+	}
+	s := syscall.SIGCONT
+	if on {
+		s = syscall.SIGSTOP
+	}
+	n.d.log("freeze "+n.name, n.cmd.Process.Signal(s))
+}
+
+// lookAgain is how often a held connection looks whether its cut is over.
+const lookAgain = 20 * time.Millisecond
+
+// between opens the address at which one controller reaches another, and carries
+// what it says there, unless the network between them is cut.
+func (d *Driver) between(from, to *proc) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen between controllers: %w", err)
+	}
+	d.closers = append(d.closers, func() { _ = l.Close() })
+	d.stopped.Add(1)
+	go func() {
+		defer d.stopped.Done()
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go d.carry(c, from, to)
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+// carry carries one connection both ways.
+func (d *Driver) carry(c net.Conn, from, to *proc) {
+	defer func() { _ = c.Close() }()
+	if !d.open(from, to) {
+		return
+	}
+	o, err := net.DialTimeout("tcp", to.back, time.Second)
+	if err != nil {
+		return
+	}
+	defer func() { _ = o.Close() }()
+	over := make(chan struct{}, 2)
+	copyTo := func(dst, src net.Conn) {
+		defer func() { over <- struct{}{} }()
+		buf := make([]byte, 32<<10)
+		for {
+			n, err := src.Read(buf)
+			if n > 0 {
+				if !d.open(from, to) {
+					return
+				}
+				if _, werr := dst.Write(buf[:n]); werr != nil {
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}
+	go copyTo(o, c)
+	go copyTo(c, o)
+	select {
+	case <-over:
+	case <-d.stop:
+	}
+}
+
+// open waits until two controllers can reach each other; false if the
+// connection is to break.
+func (d *Driver) open(a, b *proc) bool {
+	for {
+		type state struct{ cut, reset bool }
+		ch := make(chan state, 1)
+		if !d.do(func() {
+			cut, reset := d.w.Cut(a.name, b.name)
+			ch <- state{cut, reset}
+		}) {
+			return false
+		}
+		select {
+		case s := <-ch:
+			if !s.cut || s.reset {
+				return !s.reset
+			}
+		case <-d.stop:
+			return false
+		}
+		time.Sleep(lookAgain)
+	}
+}
--- /dev/null
+++ b/internal/emulator/sockets/serve.go
@@ -0,0 +1,393 @@
+package sockets
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/zinclb/zinclb/internal/emulator/fake"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/scenario"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// maxBody is the largest request.
+const maxBody = 64 << 10
+
+// client never follows a redirect; a user makes a new connection each time.
+func client(fresh bool) *http.Client {
+	return &http.Client{Timeout: 6 * time.Second,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport:     &http.Transport{DisableKeepAlives: fresh, MaxIdleConnsPerHost: 4096, IdleConnTimeout: 30 * time.Second}}
+}
+
+// serve serves a handler on an address of loopback.
+func (d *Driver) serve(addr string, h http.HandlerFunc) (string, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	d.closers = append(d.closers, func() { d.log("close", s.Close()) })
+	d.stopped.Add(1)
+	go func() {
+		defer d.stopped.Done()
+		_ = s.Serve(l) // it ends with Close
+	}()
+	return l.Addr().String(), nil
+}
+
+// decode reads a body, strictly enough for a 400.
+func decode(r *http.Request, v any) bool {
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	return err == nil && len(b) <= maxBody && json.Unmarshal(b, v) == nil
+}
+
+func write(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller may be gone
+}
+
+// drop breaks the connection.
+func drop(w http.ResponseWriter) {
+	if h, ok := w.(http.Hijacker); ok {
+		if c, _, err := h.Hijack(); err == nil {
+			_ = c.Close()
+		}
+	}
+}
+
+// pass makes a handler that reads a request, brings it to a host and writes the
+// answer; alter may change its body first.
+func (d *Driver) pass(from string, to func() string, read func(*http.Request) any, alter func(any) any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		q := read(r)
+		if q == nil {
+			write(w, 400, wire.Error{Error: "malformed"})
+			return
+		}
+		// A server only sees that a client has gone once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		status, body, err := d.call(from, to(), q, r.Context().Done())
+		if err != nil || status == 0 {
+			drop(w)
+			return
+		}
+		if alter != nil {
+			body = alter(body)
+		}
+		write(w, status, body)
+	}
+}
+
+// readState reads a request to the state service, nil if it is malformed.
+func readState(r *http.Request) any {
+	v := r.URL.Query()
+	path := r.URL.Path
+	num := func(name string, or uint64) (uint64, bool) {
+		if v.Get(name) == "" {
+			return or, true
+		}
+		n, err := strconv.ParseUint(v.Get(name), 10, 63)
+		return n, err == nil
+	}
+	lease := func(s string) (uint64, bool) {
+		n, err := strconv.ParseUint(s, 10, 64)
+		return n, err == nil
+	}
+	switch {
+	case r.Method == "GET" && strings.HasPrefix(path, "/kv/"):
+		return wire.Get{Key: path[len("/kv/"):]}
+	case r.Method == "GET" && path == "/kv":
+		if n, ok := num("most", 1000); ok {
+			return wire.List{Prefix: v.Get("starts"), After: v.Get("after"), Most: int(n)}
+		}
+	case r.Method == "GET" && path == "/watch":
+		after, ok := num("after", 0)
+		wait, ok2 := num("wait_ms", 0)
+		if ok && ok2 {
+			return wire.Watch{Prefix: v.Get("starts"), After: after, WaitMS: int64(wait)}
+		}
+	case r.Method == "POST" && path == "/multi":
+		var m wire.Multi
+		if decode(r, &m) {
+			return m
+		}
+	case r.Method == "POST" && path == "/leases":
+		var m wire.NewLease
+		if decode(r, &m) {
+			return m
+		}
+	case r.Method == "POST" && strings.HasSuffix(path, "/touch"):
+		if n, ok := lease(strings.TrimSuffix(strings.TrimPrefix(path, "/leases/"), "/touch")); ok {
+			return wire.Touch{Lease: n}
+		}
+	case r.Method == "DELETE" && strings.HasPrefix(path, "/leases/"):
+		if n, ok := lease(strings.TrimPrefix(path, "/leases/")); ok {
+			return wire.Drop{Lease: n}
+		}
+	}
+	return nil
+}
+
+// readCloud reads a request to the cloud.
+func readCloud(r *http.Request) any {
+	switch r.Method + " " + r.URL.Path {
+	case "GET /machine_types":
+		return wire.Types{}
+	case "GET /rentals":
+		most, err := strconv.Atoi(r.URL.Query().Get("most"))
+		if err != nil {
+			most = 500
+		}
+		return wire.Machines{After: r.URL.Query().Get("after"), Most: most}
+	case "POST /rentals":
+		var m wire.Rent
+		if decode(r, &m) {
+			return m
+		}
+	case "POST /rentals/release":
+		var m wire.Names
+		if decode(r, &m) {
+			return wire.Release{Names: m}
+		}
+	}
+	return nil
+}
+
+// readWorker reads a request to a worker.
+func readWorker(r *http.Request) any {
+	switch r.Method + " " + r.URL.Path {
+	case "POST /do":
+		var m wire.Do
+		if decode(r, &m) {
+			return m
+		}
+	case "GET /inspect":
+		return wire.Inspect{}
+	}
+	return nil
+}
+
+// endpoint is a machine's own address.
+type endpoint struct {
+	addr string
+	s    *http.Server
+}
+
+func (e *endpoint) close() { _ = e.s.Close() }
+
+// endpoint gives a machine its address, when it is first spoken of.
+func (d *Driver) endpoint(name string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.endpoints[name]; e != nil {
+		return e.addr
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		d.log("a worker has no address", err)
+		return "127.0.0.1:9"
+	}
+	// Who sends orders there is not told; the leader does, so it is taken for
+	// whichever controller the machine's last token came from.
+	h := d.pass("", func() string { return name }, readWorker, d.addressed)
+	e := &endpoint{l.Addr().String(), &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}}
+	d.endpoints[name] = e
+	d.stopped.Add(1)
+	go func() {
+		defer d.stopped.Done()
+		_ = e.s.Serve(l) // it ends with Close
+	}()
+	return e.addr
+}
+
+// machine opens and closes a machine's address.
+func (d *Driver) machine(m world.Machine) {
+	if m.Up {
+		d.endpoint(m.Name)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.endpoints[m.Name]; e != nil {
+		e.close()
+		delete(d.endpoints, m.Name)
+	}
+}
+
+// addressed puts the addresses of machines into what tells of them.
+func (d *Driver) addressed(body any) any {
+	switch b := body.(type) {
+	case wire.MachinesAnswer:
+		for i := range b.Machines {
+			b.Machines[i].Addr = d.endpoint(b.Machines[i].Name)
+		}
+	case *wire.Report:
+		b.Addr = d.endpoint(b.Machine)
+	}
+	return body
+}
+
+// ask brings a request of the world to a controller.
+func (d *Driver) ask(n *proc, a world.Ask) {
+	method, path, body := "GET", "", []byte(nil)
+	encode := func(v any) {
+		b, err := json.Marshal(v)
+		if err != nil {
+			panic(err) // plain structs always encode
+		}
+		method, body = "POST", b
+	}
+	c, answer := d.users, any(&wire.JobAnswer{})
+	switch q := a.Request.(type) {
+	case *wire.Report:
+		d.addressed(q)
+		encode(q)
+		path, c, answer = "/agent/beat", d.beats, &wire.BeatAnswer{}
+	case *wire.Job:
+		encode(q)
+		path = "/work"
+	case wire.Poll:
+		path = "/work/" + q.ID
+	case wire.Withdraw:
+		encode(struct{}{})
+		path = "/work/" + q.ID + "/withdraw"
+	case wire.Sweep:
+		method, body, path = "POST", []byte(q.Text), "/sweeps"
+	case wire.SweepPoll:
+		path = "/sweeps/" + q.ID
+	case wire.SweepCancel:
+		encode(struct{}{})
+		path = "/sweeps/" + q.ID + "/withdraw"
+	case wire.Ready:
+		path = "/ready"
+	}
+	d.stopped.Add(1)
+	go func() {
+		defer d.stopped.Done()
+		t := world.Told{ID: a.ID}
+		req, err := http.NewRequest(method, "http://"+n.front+path, bytes.NewReader(body))
+		if err == nil {
+			var resp *http.Response
+			if resp, err = c.Do(req); err == nil {
+				b, readErr := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+				_ = resp.Body.Close()
+				if readErr == nil {
+					t.Status = resp.StatusCode
+					t.Retry, _ = strconv.Atoi(resp.Header.Get("Retry-After"))
+					_ = json.Unmarshal(b, answer) // an error's body may be anything
+					switch v := answer.(type) {
+					case *wire.BeatAnswer:
+						t.Body = *v
+					case *wire.JobAnswer:
+						t.Body = *v
+					}
+				}
+			}
+		}
+		d.do(func() { d.step(t) })
+	}()
+}
+
+// balance is the address for users from outside: it brings their requests to a
+// healthy controller, keeps their history and has workers know their jobs. It
+// also takes faults.
+func (d *Driver) balance(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	if err != nil || len(body) > maxBody {
+		write(w, 413, wire.Error{Error: "body too large"})
+		return
+	}
+	if r.URL.Path == "/emulator/fault" {
+		f, err := scenario.ParseFault(body)
+		if err == nil {
+			err = d.Befall(f)
+		}
+		if err != nil {
+			write(w, 400, wire.Error{Error: err.Error()})
+			return
+		}
+		write(w, 200, struct{}{})
+		return
+	}
+	op, job := "", ""
+	var jobs []wire.Job
+	switch parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/"); {
+	case r.URL.Path == "/work" && r.Method == "POST":
+		var j wire.Job
+		if json.Unmarshal(body, &j) == nil && j.ID != "" && j.Tasks > 0 {
+			op, job, jobs = history.Submit, j.ID, []wire.Job{j}
+		}
+	case r.URL.Path == "/sweeps" && r.Method == "POST":
+		if s, err := fake.Expand(world.Sweep{Text: string(body)}); err == nil {
+			jobs = s.Jobs
+		}
+	case parts[0] == "work" && len(parts) == 2:
+		op, job = history.Poll, parts[1]
+	case parts[0] == "work" && len(parts) == 3:
+		op, job = history.Withdraw, parts[1]
+	}
+	var nodes []string
+	var call uint64
+	ready := make(chan struct{})
+	if !d.do(func() {
+		d.upload(jobs...)
+		nodes = d.w.Healthy()
+		if op != "" {
+			call = d.w.Outside(op, job)
+		}
+		close(ready)
+	}) {
+		drop(w)
+		return
+	}
+	select {
+	case <-ready:
+	case <-d.stop:
+		drop(w)
+		return
+	}
+	status, answer := 0, []byte(nil)
+	for _, name := range nodes {
+		req, err := http.NewRequest(r.Method, "http://"+d.proc(name).front+r.URL.RequestURI(), bytes.NewReader(body))
+		if err != nil {
+			break
+		}
+		resp, err := d.users.Do(req)
+		if err != nil {
+			continue
+		}
+		answer, err = io.ReadAll(io.LimitReader(resp.Body, 4<<20))
+		_ = resp.Body.Close()
+		if err != nil {
+			break // it may have been carried out
+		}
+		status = resp.StatusCode
+		for _, h := range []string{"Retry-After", "Content-Type"} {
+			if v := resp.Header.Get(h); v != "" {
+				w.Header().Set(h, v)
+			}
+		}
+		break
+	}
+	if op != "" {
+		var a wire.JobAnswer
+		_ = json.Unmarshal(answer, &a) // an error's body may be anything
+		d.do(func() { d.w.OutsideTold(call, op, job, status, a.State) })
+	}
+	if status == 0 {
+		write(w, 503, wire.Error{Error: "no controller is healthy"})
+		return
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(answer) // the caller may be gone
+}
--- /dev/null
+++ b/internal/emulator/wire/wire.go
@@ -0,0 +1,234 @@
+// Package wire has the protocols' requests and answers as the emulator sees
+// them from the outside: the names of the published protocol stand in its tags
+// and nowhere else in the emulator. Durations are seconds, as on the wire.
+package wire
+
+import "encoding/json"
+
+// Job is a submission.
+type Job struct {
+	ID        string   `json:"name_id"`
+	Class     string   `json:"herd"`
+	Team      string   `json:"steward"`
+	Kind      string   `json:"shape"`
+	Priority  string   `json:"urgency"`
+	Tasks     int      `json:"hands"`
+	CPUs      float64  `json:"vcpus"`
+	GPUs      float64  `json:"gpus"`
+	MemGB     float64  `json:"mem_gb"`
+	Image     string   `json:"seedstock"`
+	ImageGB   float64  `json:"pull_gb"`
+	Types     []string `json:"breeds,omitempty"`
+	Zone      *string  `json:"paddock"`
+	OneZone   bool     `json:"one_zone"`
+	Spread    bool     `json:"scatter"`
+	Spot      bool     `json:"borrowed"`
+	EstimateS float64  `json:"expect_s"`
+	CheckpntS float64  `json:"bank_s"`
+	SaveS     float64  `json:"bank_cost_s"`
+	DeadlineS *float64 `json:"due_s"`
+	Awaits    []string `json:"awaits,omitempty"`
+}
+
+// The kinds of jobs, the final states and the states between.
+const (
+	Array   = "sweep"
+	Gang    = "gang"
+	Service = "standing"
+
+	Pending   = "pending"
+	Running   = "running"
+	Done      = "done"
+	Withdrawn = "withdrawn"
+)
+
+// Users' requests besides a Job, and their answer. Sweep is the text of a sweep.
+type (
+	Poll        struct{ ID string }
+	Withdraw    struct{ ID string }
+	Ready       struct{}
+	Sweep       struct{ Text string }
+	SweepPoll   struct{ ID string }
+	SweepCancel struct{ ID string }
+	JobAnswer   struct {
+		ID      string `json:"name_id"`
+		State   string `json:"status"`
+		Done    int    `json:"done"`
+		Running int    `json:"running"`
+	}
+)
+
+// Report is what a worker says of its machine.
+type Report struct {
+	Machine string   `json:"stoker"`
+	Addr    string   `json:"endpoint"`
+	Type    string   `json:"breed"`
+	Zone    string   `json:"paddock"`
+	Spot    bool     `json:"borrowed"`
+	Session uint64   `json:"shift"`
+	Seq     uint64   `json:"tally"`
+	Token   uint64   `json:"baton"`
+	NoticeS *float64 `json:"recall_s"`
+	Tasks   []Task   `json:"hands"`
+}
+
+// Task is one task of a report.
+type Task struct {
+	Name    string `json:"hand"`
+	Attempt uint64 `json:"try"`
+	State   string `json:"status"`
+	Why     string `json:"cause,omitempty"`
+	Saved   bool   `json:"stored,omitempty"`
+}
+
+// The states of a task on its machine.
+const (
+	Fetching = "fetching"
+	Waiting  = "waiting"
+	Saving   = "saving"
+	Ended    = "ended"
+)
+
+// Order is a command to a worker.
+type Order struct {
+	Op      string  `json:"verb"`
+	Task    string  `json:"hand"`
+	Attempt uint64  `json:"try"`
+	GraceS  float64 `json:"wind_down_s,omitempty"`
+}
+
+// BeatAnswer answers a report; Leader stands in a 421.
+type BeatAnswer struct {
+	Token  uint64  `json:"baton"`
+	Orders []Order `json:"orders"`
+	Leader string  `json:"foreman"`
+}
+
+// Do are orders to a worker's own address, Inspect asks there for its report.
+type (
+	Do struct {
+		Token   *uint64 `json:"baton"`
+		Session *uint64 `json:"shift"`
+		Orders  []Order `json:"orders"`
+	}
+	Inspect struct{}
+)
+
+// The cloud's calls.
+type (
+	Types struct{}
+	// MachineType is also how the emulator describes one.
+	MachineType struct {
+		Name      string   `json:"label"`
+		CPUs      float64  `json:"vcpus"`
+		GPUs      float64  `json:"gpus"`
+		MemGB     float64  `json:"mem_gb"`
+		CacheGB   float64  `json:"local_gb"`
+		FetchRate float64  `json:"fetch_gb_per_s"`
+		Price     float64  `json:"price"`
+		SpotPrice float64  `json:"market_price"`
+		BootS     float64  `json:"boot_s"`
+		Zones     []string `json:"paddocks"`
+	}
+	TypesAnswer struct {
+		Types []MachineType `json:"breeds"`
+	}
+	Rent struct {
+		Request string `json:"hire"`
+		Type    string `json:"breed"`
+		Zone    string `json:"paddock"`
+		Spot    bool   `json:"borrowed"`
+		Count   int    `json:"number"`
+	}
+	Names struct {
+		Machines []string `json:"stokers"`
+	}
+	Release  struct{ Names }
+	Machines struct {
+		After string
+		Most  int
+	}
+	Listing struct {
+		Name   string  `json:"name_id"`
+		Addr   string  `json:"endpoint"`
+		Type   string  `json:"breed"`
+		Zone   string  `json:"paddock"`
+		Spot   bool    `json:"borrowed"`
+		Status string  `json:"status"`
+		AgeS   float64 `json:"held_s"`
+	}
+	MachinesAnswer struct {
+		Machines []Listing `json:"stokers"`
+		More     bool      `json:"truncated"`
+	}
+	Error struct {
+		Error string `json:"error"`
+	}
+)
+
+// The state service's calls.
+type (
+	Get  struct{ Key string }
+	List struct {
+		Prefix, After string
+		Most          int
+	}
+	Row struct {
+		Key   string          `json:"path"`
+		Value json.RawMessage `json:"data"`
+		Stamp uint64          `json:"stamp"`
+		Lease uint64          `json:"tenure,omitempty"`
+	}
+	Page struct {
+		Rows   []Row  `json:"rows"`
+		More   bool   `json:"truncated"`
+		Ledger uint64 `json:"ledger"`
+	}
+	Cond struct {
+		Key   string `json:"path"`
+		Stamp uint64 `json:"stamp"`
+	}
+	Write struct {
+		Put    string          `json:"put,omitempty"`
+		Value  json.RawMessage `json:"data,omitempty"`
+		Lease  uint64          `json:"tenure,omitempty"`
+		Remove string          `json:"remove,omitempty"`
+	}
+	Multi struct {
+		When   []Cond  `json:"when"`
+		Writes []Write `json:"writes"`
+	}
+	MultiAnswer struct {
+		Ledger uint64   `json:"ledger"`
+		Failed []string `json:"failed,omitempty"`
+	}
+	NewLease struct {
+		LifeMS int64 `json:"life_ms"`
+	}
+	Lease struct {
+		Lease uint64 `json:"tenure"`
+	}
+	Touch struct{ Lease uint64 }
+	Drop  struct{ Lease uint64 }
+	Watch struct {
+		Prefix string
+		After  uint64
+		WaitMS int64
+	}
+	Change struct {
+		Put    string          `json:"put,omitempty"`
+		Value  json.RawMessage `json:"data,omitempty"`
+		Remove string          `json:"remove,omitempty"`
+		Stamp  uint64          `json:"stamp"`
+	}
+	WatchAnswer struct {
+		Ledger uint64   `json:"ledger"`
+		News   []Change `json:"news"`
+	}
+)
+
+// Key is the key that a write or a change is about.
+func (w Write) Key() string { return w.Put + w.Remove }
+
+// Key is the key that a change is about.
+func (c Change) Key() string { return c.Put + c.Remove }
--- /dev/null
+++ b/internal/emulator/world/faults.go
@@ -0,0 +1,259 @@
+package world
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/zinclb/zinclb/internal/emulator/history"
+)
+
+// Fault is something that happens at At and, where it lasts, ends after For.
+type Fault struct {
+	At, For int64
+	// Kind is one of Kinds.
+	Kind string
+	// Hosts is whom it befalls: controllers or machines by name, "all", or,
+	// for a cut, the sets of one side; To is the other side, everybody if it
+	// is empty.
+	Hosts, To []string
+	// Count is how many machines it befalls, if none is named; Share is the
+	// share of machines or of capacity.
+	Count int
+	Share float64
+	// Factor is how many times as slow something is.
+	Factor float64
+	// Reset: a cut breaks connections instead of holding what is sent.
+	Reset bool
+	Lose  *Lose
+}
+
+// Kinds are the kinds of faults and what they do.
+var Kinds = map[string]string{
+	"crash":          "controllers end, and are started again",
+	"roll":           "controllers are restarted one after the other, For apart",
+	"freeze":         "controllers stand still",
+	"cut":            "no message passes between Hosts and To",
+	"state_outage":   "the state service answers nobody",
+	"state_cold":     "the state service answers nobody, and has forgotten older changes when it is back",
+	"state_refuse":   "the state service refuses controllers",
+	"state_slow":     "the state service takes Factor times as long",
+	"state_limits":   "the state service's limits fall to those announced",
+	"state_lose":     "a transaction is lost, or its answer",
+	"cloud_outage":   "the cloud's interface is down",
+	"cloud_refuse":   "the cloud has no machine to give",
+	"cloud_capacity": "the cloud has only Share of its capacity",
+	"cloud_slow":     "machines take Factor times as long to come up",
+	"spot_wave":      "Share of the spot machines are taken back",
+	"machine_die":    "machines stop for good",
+	"machine_hang":   "machines stand still",
+	"machine_silent": "machines are cut off from everybody",
+	"machine_faulty": "machines fail every task",
+}
+
+// schedule plans a fault.
+func (w *World) schedule(f Fault) error {
+	begin, err := w.fault(f)
+	if err != nil {
+		return err
+	}
+	w.timers.Add(f.At, func() { w.befall(f, begin) })
+	return nil
+}
+
+// Befall lets a fault happen now.
+func (w *World) Befall(f Fault) error {
+	begin, err := w.fault(f)
+	if err == nil {
+		w.befall(f, begin)
+	}
+	return err
+}
+
+func (w *World) befall(f Fault, begin func() (end func())) {
+	w.record(history.Event{Kind: history.Fault, Why: f.Kind, State: "begins"})
+	end := begin()
+	if end == nil || f.For <= 0 {
+		return
+	}
+	w.after(f.For, func() {
+		end()
+		w.record(history.Event{Kind: history.Fault, Why: f.Kind, State: "ends"})
+	})
+}
+
+// fault checks a fault and returns what begins it; that returns what ends it.
+func (w *World) fault(f Fault) (begin func() (end func()), err error) {
+	if Kinds[f.Kind] == "" {
+		return nil, fmt.Errorf("unknown kind %q", f.Kind)
+	}
+	var nodes []*node
+	if slices.Contains([]string{"crash", "roll", "freeze", "state_refuse"}, f.Kind) {
+		for _, n := range w.nodes {
+			if len(f.Hosts) == 0 || slices.Contains(f.Hosts, "all") || slices.Contains(f.Hosts, n.name) {
+				nodes = append(nodes, n)
+			}
+		}
+		for _, h := range f.Hosts {
+			if h != "all" && w.node(h) == nil {
+				return nil, fmt.Errorf("no controller is called %q", h)
+			}
+		}
+	}
+	switch f.Kind {
+	case "crash":
+		return func() func() {
+			for _, n := range nodes {
+				w.crash(n)
+			}
+			return nil
+		}, nil
+	case "roll":
+		return func() func() {
+			for i, n := range nodes {
+				w.after(int64(i)*f.For, func() { w.crash(n) })
+			}
+			return nil
+		}, nil
+	case "freeze":
+		set := func(on bool) {
+			for _, n := range nodes {
+				n.frozen = on
+				w.emit(Freeze{n.name, on})
+			}
+		}
+		return func() func() { set(true); return func() { set(false) } }, nil
+	case "cut":
+		if len(f.Hosts) == 0 {
+			return nil, fmt.Errorf("hosts: missing")
+		}
+		to := f.To
+		if len(to) == 0 {
+			to = []string{"all"}
+		}
+		return w.cut(f.Hosts, to, f.Reset)
+	case "state_outage", "state_cold":
+		return func() func() {
+			w.state.down, w.state.cold = true, f.Kind == "state_cold"
+			return w.state.recover
+		}, nil
+	case "state_refuse":
+		set := func(on bool) {
+			for _, n := range nodes {
+				n.refused = on
+			}
+			w.state.wake()
+		}
+		return func() func() { set(true); return func() { set(false) } }, nil
+	case "state_slow", "cloud_slow":
+		if f.Factor <= 0 {
+			return nil, fmt.Errorf("factor: must be positive")
+		}
+		v := &w.state.slow
+		if f.Kind == "cloud_slow" {
+			v = &w.cloud.slow
+		}
+		return func() func() { *v = f.Factor; return func() { *v = 1 } }, nil
+	case "state_limits":
+		return func() func() { w.state.limits = w.Params.Tight(); return nil }, nil
+	case "state_lose":
+		if f.Lose == nil || !slices.Contains([]string{"before", "after", "late"}, f.Lose.How) {
+			return nil, fmt.Errorf("lose.how: must be before, after or late")
+		}
+		return func() func() { w.state.losses = append(w.state.losses, f.Lose); return nil }, nil
+	case "cloud_outage":
+		return func() func() { w.cloud.down = true; return func() { w.cloud.down = false } }, nil
+	case "cloud_refuse":
+		return func() func() { w.cloud.refusing = true; return func() { w.cloud.refusing = false } }, nil
+	case "cloud_capacity":
+		return func() func() { w.cloud.share = f.Share; return func() { w.cloud.share = 1 } }, nil
+	}
+	return w.machineFault(f)
+}
+
+func (w *World) crash(n *node) {
+	if !n.up {
+		return
+	}
+	n.up = false
+	w.emit(Kill{n.name})
+	w.record(history.Event{Kind: history.Node, Node: n.name, State: "killed"})
+	w.after(w.Restart, func() { w.emit(Start{n.name}) })
+}
+
+func (w *World) cut(a, b []string, reset bool) (func() func(), error) {
+	if _, err := w.net.set(slices.Concat(a, b)); err != nil {
+		return nil, err
+	}
+	return func() func() {
+		// The sets were checked; hosts may have come since.
+		x, errA := w.net.set(a)
+		y, errB := w.net.set(b)
+		if errA != nil || errB != nil {
+			return nil
+		}
+		return w.net.begin(x, y, reset)
+	}, nil
+}
+
+// machineFault is one that befalls machines, which are chosen when it begins.
+func (w *World) machineFault(f Fault) (func() func(), error) {
+	choose := func() []*machine {
+		var up, l []*machine
+		for _, m := range w.cloud.order {
+			switch {
+			case m.gone || !m.up || f.Kind == "spot_wave" && !m.spot:
+			case slices.Contains(f.Hosts, m.name):
+				l = append(l, m)
+			default:
+				up = append(up, m)
+			}
+		}
+		if len(f.Hosts) > 0 {
+			return l
+		}
+		w.rng.Shuffle(len(up), func(i, k int) { up[i], up[k] = up[k], up[i] })
+		n := f.Count
+		if n == 0 {
+			n = int(float64(len(up)) * f.Share)
+		}
+		return up[:min(n, len(up))]
+	}
+	each := func(do func(*machine) (undo func())) func() func() {
+		return func() func() {
+			var undo []func()
+			for _, m := range choose() {
+				if u := do(m); u != nil {
+					undo = append(undo, u)
+				}
+			}
+			return func() {
+				for _, u := range undo {
+					u()
+				}
+			}
+		}
+	}
+	switch f.Kind {
+	case "spot_wave":
+		return each(func(m *machine) func() { w.cloud.take(m); return nil }), nil
+	case "machine_die":
+		return each(func(m *machine) func() { w.cloud.died(m); return nil }), nil
+	case "machine_hang":
+		return each(func(m *machine) func() { m.hang(); return m.goOn }), nil
+	case "machine_faulty":
+		return each(func(m *machine) func() { m.faulty = true; return func() { m.faulty = false } }), nil
+	case "machine_silent":
+		return each(func(m *machine) func() {
+			begin, err := w.cut([]string{m.name}, []string{"all"}, false)
+			if err != nil {
+				return nil
+			}
+			return begin()
+		}), nil
+	}
+	return nil, fmt.Errorf("kind %q has no effect", f.Kind)
+}
+
+// KindNames are the names of all kinds of faults, in order.
+func KindNames() []string { return slices.Sorted(maps.Keys(Kinds)) }
--- /dev/null
+++ b/internal/emulator/world/network.go
@@ -0,0 +1,177 @@
+package world
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/gaissmai/bart"
+)
+
+// Network says how long messages take.
+type Network struct {
+	// Near and Far are the delays within a zone and between two, Jitter the
+	// share by which they vary, Loss the share of messages that are lost once
+	// and sent again.
+	Near, Far    int64
+	Jitter, Loss float64
+}
+
+// resend is how long it takes until a lost packet is sent again.
+const resend = 200_000
+
+// Hosts have addresses, so that a cut can be between any ranges of them:
+// 10.ZONE.KIND.0 and up, zone 0 being that of the regional services.
+const (
+	services = iota
+	users
+	controllers
+	workers // to the end of the zone's range
+)
+
+// network carries messages between hosts.
+type network struct {
+	w     *World
+	addrs map[string]netip.Addr
+	count map[[2]int]int
+	cuts  []*cut
+	// met are the pairs of hosts that have a connection.
+	met map[[2]string]bool
+}
+
+// cut separates two sets of hosts while it lasts.
+type cut struct {
+	a, b  *bart.Lite
+	reset bool
+	// held is what is delivered when it ends, in order.
+	held []func()
+}
+
+func newNetwork(w *World) *network {
+	if w.Network.Near == 0 {
+		w.Network = Network{Near: 400, Far: 800, Jitter: 0.25}
+	}
+	return &network{w: w, addrs: map[string]netip.Addr{}, count: map[[2]int]int{}, met: map[[2]string]bool{}}
+}
+
+func (n *network) zone(name string) int {
+	for i, z := range n.w.Params.Zones {
+		if z == name {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// add gives a host its address.
+func (n *network) add(name, zone string, kind int) {
+	z := n.zone(zone)
+	n.count[[2]int{z, kind}]++
+	i := n.count[[2]int{z, kind}]
+	n.addrs[name] = netip.AddrFrom4([4]byte{10, byte(z), byte(kind + i>>8), byte(i)})
+}
+
+// set reads a set of hosts: names of hosts, "zone:NAME", "controllers",
+// "workers", "services", "users", "all" and prefixes of addresses.
+func (n *network) set(list []string) (*bart.Lite, error) {
+	s := &bart.Lite{}
+	zones := len(n.w.Params.Zones)
+	kinds := map[string]int{"services": services, "users": users, "controllers": controllers}
+	for _, h := range list {
+		zone, isZone := strings.CutPrefix(h, "zone:")
+		kind, isKind := kinds[h]
+		switch {
+		case h == "all":
+			s.Insert(netip.MustParsePrefix("10.0.0.0/8"))
+		case isZone:
+			z := n.zone(zone)
+			if z == 0 {
+				return nil, fmt.Errorf("unknown zone %q", zone)
+			}
+			s.Insert(netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, 0}), 16))
+		case isKind:
+			for z := range zones + 1 {
+				s.Insert(netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(z), byte(kind), 0}), 24))
+			}
+		case h == "workers":
+			for z := 1; z <= zones; z++ {
+				for k := workers; k < 256; k++ {
+					s.Insert(netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(z), byte(k), 0}), 24))
+				}
+			}
+		case n.addrs[h].IsValid():
+			s.Insert(netip.PrefixFrom(n.addrs[h], 32))
+		default:
+			p, err := netip.ParsePrefix(h)
+			if err != nil {
+				return nil, fmt.Errorf("%q is no host, zone, kind of host or prefix", h)
+			}
+			s.Insert(p)
+		}
+	}
+	return s, nil
+}
+
+// between is the cut that separates two hosts, nil if there is none.
+func (n *network) between(from, to string) *cut {
+	if len(n.cuts) == 0 {
+		return nil
+	}
+	f, t := n.addrs[from], n.addrs[to]
+	for _, c := range n.cuts {
+		if c.a.Contains(f) && c.b.Contains(t) || c.a.Contains(t) && c.b.Contains(f) {
+			return c
+		}
+	}
+	return nil
+}
+
+func (n *network) delay(from, to string) int64 {
+	c := &n.w.Network
+	d := c.Far
+	if a, b := n.addrs[from], n.addrs[to]; a.IsValid() && b.IsValid() && a.As4()[1] == b.As4()[1] {
+		d = c.Near
+	}
+	d = n.w.spread(d, 1-c.Jitter, 1+c.Jitter)
+	if c.Loss > 0 && n.w.rng.Float64() < c.Loss {
+		d += resend
+	}
+	return d
+}
+
+// send delivers a message after the network's delay. Across a cut that holds,
+// it is delivered when the cut ends, if the two had a connection before;
+// otherwise the connection is never made and nothing comes. A cut that resets
+// breaks the connection.
+func (n *network) send(from, to string, deliver, broken func()) {
+	n.w.after(n.delay(from, to), func() {
+		pair := [2]string{min(from, to), max(from, to)}
+		switch c := n.between(from, to); {
+		case c == nil:
+			n.met[pair] = true
+			deliver()
+		case c.reset:
+			broken()
+		case n.met[pair]:
+			c.held = append(c.held, deliver)
+		}
+	})
+}
+
+// begin begins a cut, whose end is returned.
+func (n *network) begin(a, b *bart.Lite, reset bool) (end func()) {
+	c := &cut{a: a, b: b, reset: reset}
+	n.cuts = append(n.cuts, c)
+	return func() {
+		for i, o := range n.cuts {
+			if o == c {
+				n.cuts = append(n.cuts[:i], n.cuts[i+1:]...)
+				break
+			}
+		}
+		for i, f := range c.held {
+			n.w.after(int64(i), f)
+		}
+		c.held = nil
+	}
+}
--- a/internal/httpwire/message.go
+++ b/internal/httpwire/message.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"strconv"
@@ -217,7 +218,9 @@
 	Body       []byte
 	RetryAfter int
 	Allow      string
-	Close      bool
+	// ContentType is JSON's if it is empty.
+	ContentType string
+	Close       bool
 }
 
 var reasons = map[int]string{200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
@@ -230,7 +233,9 @@
 	b = strconv.AppendInt(b, int64(r.Status), 10)
 	b = append(b, ' ')
 	b = append(b, reasons[r.Status]...)
-	b = append(b, "\r\nContent-Type: application/json\r\nContent-Length: "...)
+	b = append(b, "\r\nContent-Type: "...)
+	b = append(b, cmp.Or(r.ContentType, "application/json")...)
+	b = append(b, "\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(r.Body)), 10)
 	if r.RetryAfter > 0 {
 		b = append(b, "\r\nRetry-After: "...)
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,95 @@
+// Package metrics writes what operators are shown of a controller in the text
+// format that monitoring systems read. Nothing is counted for it: it is made of
+// the view of the moment when somebody asks, and costs nothing otherwise.
+package metrics
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/common/expfmt"
+
+	"github.com/zinclb/zinclb/internal/core"
+)
+
+// ContentType is that of Text.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// view is one moment of a controller.
+type view struct{ *core.OpsView }
+
+// Describe sends nothing: which metrics there are depends on the moment (only a
+// leader has queues), so the registry checks none in advance.
+func (view) Describe(chan<- *prometheus.Desc) {}
+
+// Collect sends the metrics of the moment.
+func (v view) Collect(out chan<- prometheus.Metric) {
+	gauge := func(name, help string, value float64, labels ...string) {
+		var names, values []string
+		for i := 0; i < len(labels); i += 2 {
+			names, values = append(names, labels[i]), append(values, labels[i+1])
+		}
+		out <- prometheus.MustNewConstMetric(prometheus.NewDesc("zinclb_"+name, help, names, nil), prometheus.GaugeValue, value, values...)
+	}
+	yes := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	gauge("leading", "1 if this controller leads.", yes(v.Leading))
+	gauge("synced", "1 if it has read the state service.", yes(v.Synced))
+	gauge("token", "Token of the newest leadership it knows.", float64(v.Token))
+	gauge("state_revision", "Revision of the state service it has seen.", float64(v.Revision))
+	gauge("state_silent_seconds", "Time since the state service last answered it.", v.StateAgeS)
+	gauge("state_limits_fallen", "1 if the state service's limits to come are here.", yes(v.Lowered))
+	gauge("writes_left", "Changes that its budget has left at this moment.", v.WritesLeft)
+	gauge("format", "Version of stored data.", float64(v.Format))
+	gauge("unfinished_jobs", "Accepted jobs that are not over.", float64(v.Jobs))
+	gauge("awaiting_jobs", "Unfinished jobs that wait for others to be done.", float64(v.Awaiting))
+	gauge("troubles", "Troubles that operators are told of.", float64(len(v.Troubles)))
+	for _, p := range v.Peers {
+		gauge("peer_up", "1 if another controller answers.", yes(p.Up), "peer", p.Name)
+	}
+	if v.Leading {
+		gauge("cloud_calls_left", "Calls that the budget for the cloud has left.", v.CallsLeft)
+		m := v.Machines
+		for _, s := range []struct {
+			state string
+			n     int
+		}{{"busy", m.Busy}, {"idle", m.Idle}, {"warming", m.Warming}, {"silent", m.Silent}, {"draining", m.Draining}, {"booting", m.Booting}} {
+			gauge("machines", "Machines by what they are doing, as the leader knows them.", float64(s.n), "state", s.state)
+		}
+		for i, q := range v.Queues {
+			gauge("queue_waiting_jobs", "Jobs that wait in a queue.", float64(q.Waiting), "queue", strconv.Itoa(i))
+			gauge("queue_waiting_tasks", "Tasks of jobs that wait in a queue.", float64(q.Tasks), "queue", strconv.Itoa(i))
+			gauge("queue_pivot_waits_seconds", "How long a queue's pivot has waited.", q.WaitsS, "queue", strconv.Itoa(i))
+		}
+	}
+	desc := prometheus.NewDesc("zinclb_request_seconds", "How long users' requests took in this process.", []string{"call"}, nil)
+	for _, l := range v.Latencies {
+		out <- prometheus.MustNewConstSummary(desc, uint64(l.Answers), l.Mean*float64(l.Answers)/1e3,
+			map[float64]float64{0.5: l.P50 / 1e3, 0.95: l.P95 / 1e3, 0.99: l.P99 / 1e3}, l.Call)
+	}
+}
+
+// Text is the view in the text format.
+func Text(v *core.OpsView) ([]byte, error) {
+	r := prometheus.NewPedanticRegistry()
+	if err := r.Register(view{v}); err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	families, err := r.Gather()
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	var b bytes.Buffer
+	for _, f := range families {
+		if _, err := expfmt.MetricFamilyToText(&b, f); err != nil {
+			return nil, fmt.Errorf("metrics: %w", err)
+		}
+	}
+	return b.Bytes(), nil
+}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,56 @@
+package metrics
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/zinclb/zinclb/internal/core"
+)
+
+// TestText reads back what is written, for a leader and for another controller.
+func TestText(t *testing.T) {
+	v := core.OpsView{Token: 7, Synced: true, Jobs: 12, Peers: []core.OpsPeer{{Name: "node \"1\"", Up: true}, {Name: "node-2"}},
+		Queues: []core.OpsQueue{{Waiting: 3, Tasks: 40, WaitsS: 1.5}, {}}, Machines: core.OpsMachines{Busy: 5, Booting: 2},
+		Latencies: []core.OpsLatency{{Call: "submit", Answers: 10, Mean: 20, P50: 15, P95: 40, P99: 50}}}
+	cases := []struct {
+		leading bool
+		want    map[string]float64
+		without string
+	}{
+		{false, map[string]float64{"zinclb_unfinished_jobs": 12, "zinclb_token": 7, "zinclb_synced": 1, "zinclb_leading": 0, `zinclb_peer_up{node "1"}`: 1, "zinclb_peer_up{node-2}": 0, "zinclb_request_seconds{submit}": 0.2}, "zinclb_machines"},
+		{true, map[string]float64{"zinclb_leading": 1, "zinclb_machines{busy}": 5, "zinclb_machines{booting}": 2, "zinclb_queue_waiting_tasks{0}": 40, "zinclb_queue_pivot_waits_seconds{0}": 1.5}, "nothing"},
+	}
+	for _, tc := range cases {
+		v.Leading = tc.leading
+		b, err := Text(&v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := expfmt.NewTextParser(model.LegacyValidation)
+		families, err := p.TextToMetricFamilies(strings.NewReader(string(b)))
+		if err != nil {
+			t.Fatalf("%v in\n%s", err, b)
+		}
+		got := map[string]float64{}
+		for name, f := range families {
+			for _, m := range f.Metric {
+				key := name
+				if len(m.Label) > 0 {
+					key += "{" + m.Label[0].GetValue() + "}"
+				}
+				got[key] = m.GetGauge().GetValue() + m.GetSummary().GetSampleSum()
+			}
+		}
+		for k, want := range tc.want {
+			if v, ok := got[k]; !ok || v != want {
+				t.Errorf("leading %v: %s is %v (%v), want %v", tc.leading, k, v, ok, want)
+			}
+		}
+		if strings.Contains(string(b), tc.without) {
+			t.Errorf("leading %v: %s is there", tc.leading, tc.without)
+		}
+	}
+}
--- a/internal/node/latency.go
+++ b/internal/node/latency.go
@@ -41,7 +41,7 @@
 	var v []core.OpsLatency
 	for _, call := range []string{"submit", "status", "cancel"} {
 		if h := l[call]; h != nil {
-			v = append(v, core.OpsLatency{Call: call, Answers: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)),
+			v = append(v, core.OpsLatency{Call: call, Answers: h.TotalCount(), Mean: h.Mean() / 1000, P50: ms(h.ValueAtQuantile(50)),
 				P95: ms(h.ValueAtQuantile(95)), P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max())})
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core"
 	"github.com/zinclb/zinclb/internal/httpwire"
+	"github.com/zinclb/zinclb/internal/metrics"
 	"github.com/zinclb/zinclb/internal/peer"
 	"github.com/zinclb/zinclb/internal/store"
 )
@@ -166,10 +168,23 @@
 		return
 	}
 	n.ask(build, func(r core.Reply) {
+		if path, _, _ := strings.Cut(m.Target, "?"); path == api.MetricsPath && r.Ops != nil {
+			reply(metricsResponse(r.Ops))
+			return
+		}
 		reply(httpwire.Response{Status: r.Status, Body: api.EncodeReply(r), RetryAfter: r.Retry})
 	})
 }
 
+func metricsResponse(v *core.OpsView) httpwire.Response {
+	b, err := metrics.Text(v)
+	if err != nil {
+		slog.Error("metrics can't be written", "err", err)
+		return httpwire.Response{Status: 500, Body: api.EncodeReply(core.Reply{Status: 500, Error: err.Error()})}
+	}
+	return httpwire.Response{Status: 200, Body: b, ContentType: metrics.ContentType}
+}
+
 // RelayedBeat hands a peer's relayed report to the core.
 func (n *Node) RelayedBeat(from string, r core.Report) (core.Reply, error) {
 	return n.askWait(func(req uint64) any { return core.Beat{Req: req, Report: r, From: from} }, relayPatience)
