--- /dev/null
+++ b/cmd/zinclb-experiment/main.go
@@ -0,0 +1,181 @@
+// Command zinclb-experiment runs a matrix of scenarios, seeds and versions, in
+// fake time or on sockets, and reports what differs.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/experiment"
+)
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "zinclb-experiment:", err)
+		os.Exit(1)
+	}
+}
+
+// matrix is what is to be run.
+type matrix struct {
+	scenarios, versions, plots []string
+	seeds                      uint64
+	mode, out, operators       string
+	parallel, port             int
+}
+
+func root() *cobra.Command {
+	var m matrix
+	cmd := &cobra.Command{
+		Use:           "zinclb-experiment --scenario FILE... [--seeds N] [--version COMMIT...]",
+		Short:         "Runs scenarios with seeds and versions and reports what differs",
+		Long:          "Runs scenarios with seeds and versions and reports what differs.\nThe versions are compared with the first one; head is the working tree.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE:          func(*cobra.Command, []string) error { return m.run() },
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&m.scenarios, "scenario", nil, "scenario files")
+	f.Uint64Var(&m.seeds, "seeds", 5, "how many seeds, from 1 on")
+	f.StringSliceVar(&m.versions, "version", []string{experiment.Head}, "commits, or head")
+	f.StringVar(&m.mode, "mode", "fake", "fake time, or sockets")
+	f.StringVar(&m.out, "out", "target/experiment", "gets results.jsonl, report.md and the pictures")
+	f.StringVar(&m.operators, "operators", "", "operators' settings of head's controllers, in fake time")
+	f.StringSliceVar(&m.plots, "plot", []string{"accept", "accept_p99_s", "tasks_lost"}, "figures to draw besides the aims")
+	f.IntVar(&m.parallel, "parallel", runtime.NumCPU(), "runs at once; on sockets they share this machine")
+	f.IntVar(&m.port, "port", 7200, "the first port, on sockets")
+	cmd.AddCommand(one())
+	return cmd
+}
+
+func one() *cobra.Command {
+	var r experiment.Run
+	cmd := &cobra.Command{
+		Use:   "one --scenario FILE --seed N",
+		Short: "Runs one cell in fake time and prints its result",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return json.NewEncoder(os.Stdout).Encode(experiment.Here(r, "", config.Defaults()))
+		},
+	}
+	r.Version, r.Mode = experiment.Head, "fake"
+	cmd.Flags().StringVar(&r.Scenario, "scenario", "", "a scenario file")
+	cmd.Flags().Uint64Var(&r.Seed, "seed", 1, "the seed")
+	return cmd
+}
+
+func (m *matrix) run() error {
+	if len(m.scenarios) == 0 {
+		return fmt.Errorf("--scenario is missing; scenarios/ has some")
+	}
+	if m.mode != "fake" && m.mode != "sockets" {
+		return fmt.Errorf("--mode: %q is neither fake nor sockets", m.mode)
+	}
+	if m.seeds < 1 || m.seeds > 10_000 {
+		return fmt.Errorf("--seeds: %d is not within 1 and 10000", m.seeds)
+	}
+	ops, err := config.LoadOperators(m.operators)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(m.out, 0o755); err != nil {
+		return err
+	}
+	programs := map[string]string{}
+	for _, v := range m.versions {
+		switch {
+		case m.mode == "sockets":
+			programs[v], err = experiment.Build(v, "zinclb", m.out)
+		case v != experiment.Head:
+			programs[v], err = experiment.Build(v, "zinclb-experiment", m.out)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	var cells []experiment.Run
+	for _, s := range m.scenarios {
+		for seed := uint64(1); seed <= m.seeds; seed++ {
+			for _, v := range m.versions {
+				i := len(cells)
+				cells = append(cells, experiment.Run{Scenario: s, Seed: seed, Version: v, Mode: m.mode, Port: m.port + i*20%10_000, Dir: filepath.Join(m.out, fmt.Sprintf("run-%d", i))})
+			}
+		}
+	}
+	results := make([]experiment.Result, len(cells))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	done := 0
+	slots := make(chan struct{}, max(1, m.parallel))
+	for i, c := range cells {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			if m.mode == "fake" && c.Version != experiment.Head {
+				results[i] = experiment.Elsewhere(c, programs[c.Version])
+			} else {
+				results[i] = experiment.Here(c, programs[c.Version], ops)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if done++; done%10 == 0 || done == len(cells) {
+				fmt.Fprintf(os.Stderr, "%d of %d runs\n", done, len(cells))
+			}
+		})
+	}
+	wg.Wait()
+	return m.report(results)
+}
+
+// report writes what came out; it fails if a run failed or broke a rule.
+func (m *matrix) report(results []experiment.Result) error {
+	var lines, text strings.Builder
+	enc := json.NewEncoder(&lines)
+	bad := 0
+	fmt.Fprintf(&text, "# Experiment\n\n%d scenarios, %d seeds, versions %s, %s. Figures are from emulated machines.\n\n", len(m.scenarios), m.seeds, strings.Join(m.versions, ", "), m.mode)
+	for _, r := range results {
+		if err := enc.Encode(r); err != nil {
+			return err
+		}
+		for _, b := range append(r.Broken, r.Failed) {
+			if b != "" {
+				bad++
+				fmt.Fprintf(&text, "- **%s, seed %d, %s: %s**\n", r.Scenario, r.Seed, r.Version, b)
+			}
+		}
+	}
+	if bad == 0 {
+		text.WriteString("No rule was broken.\n")
+	}
+	if len(m.versions) > 1 {
+		fmt.Fprintf(&text, "\n## Differences\n\n%s", experiment.Table(experiment.Compare(results, m.versions[0]), m.versions[0]))
+	}
+	files, err := experiment.Plot(results, m.out, m.plots)
+	if err != nil {
+		return err
+	}
+	text.WriteString("\n## Pictures\n\n")
+	for _, f := range files {
+		fmt.Fprintf(&text, "![%s](%s)\n", strings.TrimSuffix(filepath.Base(f), ".png"), filepath.Base(f))
+	}
+	if err := os.WriteFile(filepath.Join(m.out, "results.jsonl"), []byte(lines.String()), 0o600); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(m.out, "report.md"), []byte(text.String()), 0o600); err != nil {
+		return err
+	}
+	fmt.Println("wrote", filepath.Join(m.out, "report.md"))
+	if bad > 0 {
+		return fmt.Errorf("%d runs failed or broke a rule; the report names them", bad)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/zinclb-load/main.go
@@ -0,0 +1,139 @@
+// Command zinclb-load submits the loads of a scenario, or a recorded trace, to a
+// running zinclb at the times at which they are meant to come.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinclb/zinclb/internal/emulator/scenario"
+	"github.com/zinclb/zinclb/internal/load"
+)
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "zinclb-load:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	var path, trace, record string
+	var seed uint64
+	var most, first int
+	var speed float64
+	o := load.Options{}
+	cmd := &cobra.Command{
+		Use:   "zinclb-load --addr HOST:PORT (--scenario FILE | --trace FILE)",
+		Short: "Submits a load in an open loop and reports how long it took",
+		Long: "Submits a load in an open loop and reports how long it took.\nLatencies count from the time at which a submission was meant to come.\n" +
+			"At the emulator's users' address its workers learn of the jobs.",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			entries, err := read(path, trace, seed, first)
+			if err != nil {
+				return err
+			}
+			if speed <= 0 {
+				return fmt.Errorf("--speed: %v must be positive", speed)
+			}
+			if o.Open < 1 || most < 1 {
+				return fmt.Errorf("--open and --most: must be at least 1")
+			}
+			entries = entries[:min(len(entries), most)]
+			for i := range entries {
+				entries[i].At = int64(float64(entries[i].At) / speed)
+			}
+			if record != "" {
+				return write(record, entries)
+			}
+			o.Progress = func(t load.Totals) { fmt.Println(t) }
+			t := load.Run(entries, o)
+			fmt.Println(t)
+			fmt.Println("accepted after", load.Quantiles(t.Accept))
+			if o.Follow {
+				fmt.Println("done after", load.Quantiles(t.Complete))
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&o.Addr, "addr", "127.0.0.1:7100", "a controller's front, or the emulator's users' address")
+	f.StringVar(&path, "scenario", "", "a scenario whose loads are submitted")
+	f.StringVar(&trace, "trace", "", "a recorded trace, JSON lines")
+	f.StringVar(&record, "record", "", "writes the trace here instead of submitting it")
+	f.Uint64Var(&seed, "seed", 0, "a seed other than the scenario's")
+	f.IntVar(&first, "first-id", 500_001, "the number of a scenario's first job")
+	f.Float64Var(&speed, "speed", 1, "so many times as fast as it was meant")
+	f.IntVar(&most, "most", 10_000, "submissions at most")
+	f.IntVar(&o.Open, "open", 200, "submissions under way at once, at most")
+	f.BoolVar(&o.Follow, "follow", false, "ask about jobs until they are over")
+	f.DurationVar(&o.For, "for", 10*time.Minute, "time at most")
+	return cmd
+}
+
+// read makes a trace of a scenario or reads a recorded one.
+func read(path, trace string, seed uint64, first int) (entries []load.Entry, err error) {
+	switch {
+	case (path == "") == (trace == ""):
+		return nil, fmt.Errorf("one of --scenario and --trace is needed")
+	case path != "":
+		s, err := scenario.Load(path, seed)
+		if err != nil {
+			return nil, err
+		}
+		ids := map[string]string{}
+		for i, j := range s.Jobs {
+			ids[j.Spec.ID] = fmt.Sprintf("req-%06d", first+i)
+		}
+		for _, j := range s.Jobs {
+			spec := j.Spec
+			spec.ID = ids[spec.ID]
+			spec.Awaits = slices.Clone(spec.Awaits)
+			for k, a := range spec.Awaits {
+				spec.Awaits[k] = ids[a]
+			}
+			entries = append(entries, load.Entry{At: j.At, Job: spec})
+		}
+	default:
+		b, err := os.ReadFile(trace)
+		if err != nil {
+			return nil, fmt.Errorf("read trace: %w", err)
+		}
+		lines := bufio.NewScanner(bytes.NewReader(b))
+		lines.Buffer(nil, 1<<20)
+		for n := 1; lines.Scan(); n++ {
+			var e load.Entry
+			if err := json.Unmarshal(lines.Bytes(), &e); err != nil || e.Job.ID == "" || e.At < 0 {
+				return nil, fmt.Errorf("%s: line %d: no entry with at_us and job: %v", trace, n, err)
+			}
+			entries = append(entries, e)
+		}
+		if err := lines.Err(); err != nil {
+			return nil, fmt.Errorf("%s: %w", trace, err)
+		}
+	}
+	slices.SortStableFunc(entries, func(a, b load.Entry) int { return cmp.Compare(a.At, b.At) })
+	return entries, nil
+}
+
+func write(path string, entries []load.Entry) error {
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	for _, e := range entries {
+		if err := enc.Encode(e); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(path, b.Bytes(), 0o600)
+}
--- /dev/null
+++ b/internal/emulator/history/measure.go
@@ -0,0 +1,138 @@
+package history
+
+import (
+	"slices"
+
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// Aim is a share of a class's jobs, or of its tasks' starts, within a time.
+type Aim struct {
+	Kind, Class string
+	Within      int64
+}
+
+// course is how a job went.
+type course struct {
+	first, accepted, last int64
+	starts                map[int]int64
+	left                  int
+	cancelled             bool
+}
+
+// Measure says how well a history went, as numbers by name. Times are seconds;
+// they are counted from a job's first attempt to submit, and for a job that
+// awaits others from the moment when the last of them is done. Jobs that were
+// submitted in the last tenth are left out of the shares, as their time is cut
+// off; cancelled ones are too.
+func Measure(events []Event, terms Terms, aims []Aim) map[string]float64 {
+	out := map[string]float64{}
+	jobs := map[string]*course{}
+	var order []string
+	end := int64(0)
+	if len(events) > 0 {
+		end = events[len(events)-1].At
+	}
+	for _, e := range events {
+		if e.Kind == Paid {
+			out["cost"] += e.Cost
+		}
+		spec := terms.Jobs[e.Job]
+		if spec == nil {
+			continue
+		}
+		j := jobs[e.Job]
+		if j == nil {
+			j = &course{first: e.At, starts: map[int]int64{}, left: spec.Tasks}
+			jobs[e.Job] = j
+			order = append(order, e.Job)
+		}
+		switch {
+		case e.Kind == Sent && e.Op == Withdraw:
+			j.cancelled = true
+		case e.Kind == Told && e.Op == Submit && j.accepted == 0 && (e.Status == 200 || e.Status == 201):
+			j.accepted = e.At
+		case e.Kind == Started:
+			if j.starts[e.Task] == 0 {
+				j.starts[e.Task] = e.At
+			}
+		case e.Kind == Completed:
+			if j.left--; j.left == 0 {
+				j.last = e.At
+			}
+			out["tasks_done"]++
+		case e.Kind == Left && !slices.Contains([]string{"done", "stopped"}, e.Why):
+			out["tasks_lost"]++
+		}
+	}
+	var accepts []float64
+	for _, id := range order {
+		if j := jobs[id]; j.accepted != 0 {
+			accepts = append(accepts, float64(j.accepted-j.first)/1e6)
+			out["jobs_accepted"]++
+		}
+		if jobs[id].last != 0 {
+			out["jobs_done"]++
+		}
+	}
+	slices.Sort(accepts)
+	if len(accepts) > 0 {
+		out["accept_p50_s"], out["accept_p99_s"] = quantile(accepts, 0.5), quantile(accepts, 0.99)
+	}
+	for _, a := range aims {
+		name := a.Kind
+		if a.Class != "" {
+			name += " " + a.Class
+		}
+		good, all := 0, 0
+		for _, id := range order {
+			j, spec := jobs[id], terms.Jobs[id]
+			if a.Class != "" && spec.Class != a.Class || j.cancelled || j.first > end*9/10 {
+				continue
+			}
+			from := begin(jobs, spec, j)
+			in := func(t, within int64) {
+				all++
+				if t != 0 && t-from <= within {
+					good++
+				}
+			}
+			switch a.Kind {
+			case "accept":
+				from = j.first
+				in(j.accepted, a.Within)
+			case "wait":
+				for i := range spec.Tasks {
+					in(j.starts[i], a.Within)
+				}
+			case "complete":
+				in(j.last, a.Within)
+			case "deadline":
+				if spec.DeadlineS != nil {
+					from = j.first
+					in(j.last, int64(*spec.DeadlineS*1e6))
+				}
+			}
+		}
+		if all > 0 {
+			out[name] = float64(good) / float64(all)
+		}
+	}
+	return out
+}
+
+// begin is when a job's time begins.
+func begin(jobs map[string]*course, spec *wire.Job, j *course) int64 {
+	t := j.first
+	for _, id := range spec.Awaits {
+		if o := jobs[id]; o != nil {
+			t = max(t, o.last)
+		}
+	}
+	return t
+}
+
+// quantile is that of sorted values, at least one.
+func quantile(sorted []float64, q float64) float64 {
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,128 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/zeebo/blake3"
+
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/emulator/fake"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/scenario"
+	"github.com/zinclb/zinclb/internal/emulator/sockets"
+)
+
+// Head is the version that is running.
+const Head = "head"
+
+// Run is a cell of the matrix.
+type Run struct {
+	Scenario string // a file
+	Seed     uint64
+	Version  string
+	Mode     string // fake or sockets
+	Port     int    // the first of its ports, on sockets
+	Dir      string
+}
+
+// Here runs a cell in this process: in fake time with the cores of this
+// program, on sockets with a controller's program.
+func Here(r Run, binary string, ops config.Operators) Result {
+	out := Result{Seed: r.Seed, Version: r.Version, Mode: r.Mode, Broken: []string{}}
+	s, err := scenario.Load(r.Scenario, r.Seed)
+	if err != nil {
+		out.Failed = err.Error()
+		return out
+	}
+	out.Scenario = s.Name
+	var h []history.Event
+	var terms history.Terms
+	switch r.Mode {
+	case "fake":
+		c, err := fake.Run(s.Config, fake.Options{Operators: ops})
+		if err != nil {
+			out.Failed = err.Error()
+			return out
+		}
+		h, terms = c.History, c.Terms()
+	case "sockets":
+		d, err := sockets.New(s.Config, sockets.Options{Dir: r.Dir, Port: r.Port, Binaries: []string{binary}})
+		if err == nil {
+			h, err = d.Run(nil)
+		}
+		if err != nil {
+			out.Failed = err.Error()
+			return out
+		}
+		terms = d.Terms()
+	default:
+		out.Failed = fmt.Sprintf("mode: %q is neither fake nor sockets", r.Mode)
+		return out
+	}
+	var aims []history.Aim
+	for _, a := range s.Aims {
+		aims = append(aims, history.Aim{Kind: a.Kind, Class: a.Class, Within: a.Within})
+	}
+	out.Figures = history.Measure(h, terms, aims)
+	for _, b := range append(history.Check(h, terms), history.Linear(h, terms)...) {
+		out.Broken = append(out.Broken, fmt.Sprintf("at %.1f s %s: %s", float64(b.At)/1e6, b.Rule, b.What))
+	}
+	sum := blake3.New()
+	enc := json.NewEncoder(sum)
+	for _, e := range h {
+		if err := enc.Encode(e); err != nil {
+			out.Failed = err.Error()
+			return out
+		}
+	}
+	out.Digest = hex.EncodeToString(sum.Sum(nil)[:16])
+	return out
+}
+
+// Build builds a command of a commit of this repository's history and returns
+// where it is; Head is built of the working tree.
+func Build(commit, command, dir string) (string, error) {
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return "", err
+	}
+	out := filepath.Join(dir, strings.ReplaceAll(commit, "/", "_")+"-"+command)
+	tree := "."
+	if commit != Head {
+		tree = filepath.Join(dir, "tree-"+strings.ReplaceAll(commit, "/", "_"))
+		if _, err := os.Stat(tree); err != nil {
+			if b, err := exec.Command("git", "worktree", "add", "--detach", "--force", tree, commit).CombinedOutput(); err != nil {
+				return "", fmt.Errorf("version %s: %w: %s", commit, err, bytes.TrimSpace(b))
+			}
+		}
+	}
+	cmd := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", out, "./cmd/"+command)
+	cmd.Dir = tree
+	if b, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("version %s: build %s: %w: %s", commit, command, err, bytes.TrimSpace(b))
+	}
+	return out, nil
+}
+
+// Elsewhere runs a cell in fake time in the program of another version, which
+// has to have the experiment command too.
+func Elsewhere(r Run, program string) Result {
+	out := Result{Seed: r.Seed, Version: r.Version, Mode: r.Mode, Broken: []string{}}
+	b, err := exec.Command(program, "one", "--scenario", r.Scenario, "--seed", fmt.Sprint(r.Seed)).Output()
+	if err != nil {
+		out.Failed = err.Error()
+		return out
+	}
+	if err := json.Unmarshal(b, &out); err != nil {
+		out.Failed = err.Error()
+	}
+	out.Version = r.Version
+	return out
+}
--- /dev/null
+++ b/internal/experiment/stats.go
@@ -0,0 +1,114 @@
+// Package experiment compares versions of zinclb over scenarios and seeds: it
+// runs a matrix of them, keeps the results as JSON lines, and makes a report
+// with pictures and differences.
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Result is one run.
+type Result struct {
+	Scenario string             `json:"scenario"`
+	Seed     uint64             `json:"seed"`
+	Version  string             `json:"version"`
+	Mode     string             `json:"mode"`
+	Figures  map[string]float64 `json:"figures"`
+	// Digest is that of all that happened; in fake time it is the same for
+	// the same run.
+	Digest string   `json:"digest"`
+	Broken []string `json:"broken"`
+	// Failed says why there are no figures.
+	Failed string `json:"failed,omitempty"`
+}
+
+// Difference is how a figure changes from the first version to another, over
+// the seeds that both were run with.
+type Difference struct {
+	Scenario, Figure, Version string
+	Pairs                     int
+	Base, Mean                float64
+	// Low and High are the bounds of the difference with 95% confidence, by
+	// Student's t over pairs of one seed; NaN for fewer than two pairs.
+	Low, High float64
+}
+
+// Clear says whether the difference is more than chance.
+func (d Difference) Clear() bool { return d.Low > 0 || d.High < 0 }
+
+// Compare finds the differences of all figures of each scenario.
+func Compare(results []Result, base string) []Difference {
+	type key struct{ scenario, figure string }
+	at := map[key]map[string]map[uint64]float64{}
+	var keys []key
+	var versions []string
+	for _, r := range results {
+		if !slices.Contains(versions, r.Version) {
+			versions = append(versions, r.Version)
+		}
+		for f, v := range r.Figures {
+			k := key{r.Scenario, f}
+			if at[k] == nil {
+				at[k] = map[string]map[uint64]float64{}
+				keys = append(keys, k)
+			}
+			if at[k][r.Version] == nil {
+				at[k][r.Version] = map[uint64]float64{}
+			}
+			at[k][r.Version][r.Seed] = v
+		}
+	}
+	slices.SortFunc(keys, func(a, b key) int {
+		return strings.Compare(a.scenario+"\x00"+a.figure, b.scenario+"\x00"+b.figure)
+	})
+	var out []Difference
+	for _, k := range keys {
+		for _, v := range versions {
+			if v == base {
+				continue
+			}
+			var diff, from []float64
+			seeds := make([]uint64, 0, len(at[k][base]))
+			for seed := range at[k][base] {
+				seeds = append(seeds, seed)
+			}
+			slices.Sort(seeds) // sums are the same whatever the order of the map
+			for _, seed := range seeds {
+				if y, ok := at[k][v][seed]; ok {
+					diff, from = append(diff, y-at[k][base][seed]), append(from, at[k][base][seed])
+				}
+			}
+			if len(diff) == 0 {
+				continue
+			}
+			d := Difference{Scenario: k.scenario, Figure: k.figure, Version: v, Pairs: len(diff), Base: stat.Mean(from, nil), Low: math.NaN(), High: math.NaN()}
+			d.Mean = stat.Mean(diff, nil)
+			if n := float64(len(diff)); n > 1 {
+				half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975) * stat.StdDev(diff, nil) / math.Sqrt(n)
+				d.Low, d.High = d.Mean-half, d.Mean+half
+			}
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// Table is the differences in Markdown, the clear ones marked.
+func Table(ds []Difference, base string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "| scenario | figure | %s | version | pairs | difference | 95%% confidence | |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n", base)
+	for _, d := range ds {
+		mark := ""
+		if d.Clear() {
+			mark = "clear"
+		}
+		fmt.Fprintf(&b, "| %s | %s | %.4g | %s | %d | %+.4g | %.4g to %.4g | %s |\n", d.Scenario, d.Figure, d.Base, d.Version, d.Pairs, d.Mean, d.Low, d.High, mark)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,211 @@
+// Package load submits jobs at the times at which they are meant to come,
+// whatever becomes of those before, and says how long that took: an open loop.
+// Latencies are counted from the intended time, so that a service that stands
+// still shows in all submissions that should have come meanwhile.
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// Entry is a submission of a trace; At is microseconds from the beginning.
+type Entry struct {
+	At  int64    `json:"at_us"`
+	Job wire.Job `json:"job"`
+}
+
+// The manners of users, as the protocol has them.
+const (
+	submitMost = 5 * time.Second
+	giveUp     = 60 * time.Second
+	pollEvery  = 5 * time.Second
+	retryMost  = 30 * time.Second
+	longest    = 600_000_000 // microseconds, of a histogram
+)
+
+// Options bound a run.
+type Options struct {
+	Addr string
+	// Open is how many submissions may be under way; one that would be more
+	// is not sent and counted as held up.
+	Open int
+	// Follow: jobs are asked about until they are over, or until For.
+	Follow bool
+	For    time.Duration
+	// Progress, if set, is called every ten seconds.
+	Progress func(Totals)
+}
+
+// Totals are what came out.
+type Totals struct {
+	Sent, Accepted, Refused, GivenUp, HeldUp, Done, Withdrawn, Retries int
+	// Accept and Complete are in microseconds from the intended time.
+	Accept, Complete *hdrhistogram.Histogram
+}
+
+// runner is a run; mu guards the totals.
+type runner struct {
+	Options
+	c     *http.Client
+	start time.Time
+	mu    sync.Mutex
+	t     Totals
+	end   chan struct{}
+}
+
+// Run submits a trace, in the order of its times.
+func Run(trace []Entry, o Options) Totals {
+	r := &runner{Options: o, start: time.Now(), end: make(chan struct{}),
+		c: &http.Client{Timeout: submitMost, Transport: &http.Transport{DisableKeepAlives: true}}}
+	r.t.Accept, r.t.Complete = hdrhistogram.New(1, longest, 3), hdrhistogram.New(1, longest, 3)
+	over := time.AfterFunc(o.For, func() { close(r.end) })
+	defer over.Stop()
+	if o.Progress != nil {
+		tick := time.NewTicker(10 * time.Second)
+		defer tick.Stop()
+		go func() {
+			for {
+				select {
+				case <-tick.C:
+					r.note(func(t *Totals) { o.Progress(*t) })
+				case <-r.end:
+					return
+				}
+			}
+		}()
+	}
+	slots := make(chan struct{}, o.Open)
+	var wg sync.WaitGroup
+	for _, e := range trace {
+		if !r.sleep(time.Until(r.start.Add(time.Duration(e.At) * time.Microsecond))) {
+			break
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.note(func(t *Totals) { t.HeldUp++ })
+			continue
+		}
+		wg.Go(func() {
+			accepted := r.submit(e)
+			<-slots
+			if accepted && o.Follow {
+				r.follow(e)
+			}
+		})
+	}
+	wg.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.t
+}
+
+func (r *runner) note(f func(*Totals)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.t)
+}
+
+// sleep waits; false if the run is over.
+func (r *runner) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.end:
+		return false
+	}
+}
+
+// since is how long after its intended time an entry is.
+func (r *runner) since(e Entry) int64 {
+	return min(max(time.Since(r.start).Microseconds()-e.At, 1), longest)
+}
+
+// submit tries for a minute; whether it was accepted.
+func (r *runner) submit(e Entry) bool {
+	body, err := json.Marshal(&e.Job)
+	if err != nil {
+		panic(err) // plain structs always encode
+	}
+	r.note(func(t *Totals) { t.Sent++ })
+	for first := time.Now(); ; {
+		status, wait := r.post(body)
+		switch status {
+		case 200, 201:
+			r.note(func(t *Totals) {
+				t.Accepted++
+				_ = t.Accept.RecordValue(r.since(e)) // it is within bounds
+			})
+			return true
+		case 400, 422:
+			r.note(func(t *Totals) { t.Refused++ })
+			return false
+		}
+		if time.Since(first)+wait > giveUp || !r.sleep(wait) {
+			r.note(func(t *Totals) { t.GivenUp++ })
+			return false
+		}
+		r.note(func(t *Totals) { t.Retries++ })
+	}
+}
+
+// post sends a submission; 0 is no answer. The time is when to try again.
+func (r *runner) post(body []byte) (int, time.Duration) {
+	resp, err := r.c.Post("http://"+r.Addr+"/work", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, time.Second
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	after, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+	return resp.StatusCode, min(max(time.Second, time.Duration(after)*time.Second), retryMost)
+}
+
+// follow asks about a job until it is over.
+func (r *runner) follow(e Entry) {
+	for r.sleep(pollEvery) {
+		resp, err := r.c.Get("http://" + r.Addr + "/work/" + e.Job.ID)
+		if err != nil {
+			continue
+		}
+		var a wire.JobAnswer
+		err = json.NewDecoder(resp.Body).Decode(&a)
+		_ = resp.Body.Close()
+		if err != nil || resp.StatusCode != 200 || a.State != wire.Done && a.State != wire.Withdrawn {
+			continue
+		}
+		r.note(func(t *Totals) {
+			if a.State == wire.Withdrawn {
+				t.Withdrawn++
+				return
+			}
+			t.Done++
+			_ = t.Complete.RecordValue(r.since(e)) // it is within bounds
+		})
+		return
+	}
+}
+
+// String is one line.
+func (t Totals) String() string {
+	return fmt.Sprintf("%d sent, %d accepted, %d refused, %d given up, %d held up, %d retries, %d done, %d withdrawn", t.Sent, t.Accepted, t.Refused, t.GivenUp, t.HeldUp, t.Retries, t.Done, t.Withdrawn)
+}
+
+// Quantiles describes a histogram in milliseconds.
+func Quantiles(h *hdrhistogram.Histogram) string {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return fmt.Sprintf("p50 %.1f ms, p95 %.1f ms, p99 %.1f ms, max %.1f ms", ms(50), ms(95), ms(99), float64(h.Max())/1000)
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,57 @@
+package load
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// TestRun submits to a service that refuses, turns away once, accepts late and
+// ends jobs: each is counted for what it was, and lateness from the intended
+// time.
+func TestRun(t *testing.T) {
+	var mu sync.Mutex
+	tries := map[string]int{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var j wire.Job
+		_ = json.NewDecoder(r.Body).Decode(&j)
+		id := j.ID + strings.TrimPrefix(r.URL.Path, "/work/")
+		mu.Lock()
+		tries[r.Method+j.ID]++
+		n := tries[r.Method+j.ID]
+		mu.Unlock()
+		switch {
+		case strings.HasPrefix(j.ID, "bad"):
+			w.WriteHeader(422)
+		case strings.HasPrefix(j.ID, "again") && n == 1:
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(503)
+		case r.Method == "POST":
+			w.WriteHeader(201)
+		default:
+			_ = json.NewEncoder(w).Encode(wire.JobAnswer{ID: id, State: map[bool]string{true: wire.Withdrawn, false: wire.Done}[strings.Contains(id, "gone")]})
+		}
+	}))
+	defer s.Close()
+	var trace []Entry
+	for i, id := range []string{"ok-1", "bad-1", "again-1", "gone-1", "ok-2"} {
+		trace = append(trace, Entry{At: int64(i) * 1000, Job: wire.Job{ID: id, Tasks: 1}})
+	}
+	got := Run(trace, Options{Addr: strings.TrimPrefix(s.URL, "http://"), Open: 10, Follow: true, For: 30 * time.Second})
+	if got.Sent != 5 || got.Accepted != 4 || got.Refused != 1 || got.Retries != 1 || got.Done != 3 || got.Withdrawn != 1 || got.GivenUp+got.HeldUp != 0 {
+		t.Errorf("%s", got)
+	}
+	if got.Accept.Max() < 1_000_000 || got.Accept.TotalCount() != 4 {
+		t.Errorf("the one that was turned away was accepted after %d us", got.Accept.Max())
+	}
+	got = Run(trace, Options{Addr: strings.TrimPrefix(s.URL, "http://"), Open: 0, For: 10 * time.Second})
+	if got.HeldUp != 5 || got.Sent != 0 {
+		t.Errorf("without room: %s", got)
+	}
+}
