--- a/cmd/zinclb-emulator/main.go
+++ b/cmd/zinclb-emulator/main.go
@@ -4,8 +4,6 @@
 package main
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,6 +20,7 @@
 	"github.com/zinclb/zinclb/internal/emulator/scenario"
 	"github.com/zinclb/zinclb/internal/emulator/sockets"
 	"github.com/zinclb/zinclb/internal/emulator/world"
+	"github.com/zinclb/zinclb/internal/jsonlines"
 )
 
 func main() {
@@ -99,9 +98,9 @@
 			return err
 		}
 	}
-	broken := append(history.Check(h, d.Terms()), history.Linear(h, d.Terms())...)
+	broken := history.Judge(h, d.Terms())
 	for _, b := range broken {
-		fmt.Printf("broken at %.1f s: %s: %s\n", float64(b.At)/1e6, b.Rule, b.What)
+		fmt.Println("broken", b)
 	}
 	if len(broken) > 0 {
 		return fmt.Errorf("%d breaches of the rules", len(broken))
@@ -114,14 +113,7 @@
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 		return err
 	}
-	var b bytes.Buffer
-	enc := json.NewEncoder(&b)
-	for _, e := range h {
-		if err := enc.Encode(e); err != nil {
-			return err
-		}
-	}
-	return os.WriteFile(path, b.Bytes(), 0o600)
+	return jsonlines.WriteFile(path, h)
 }
 
 func check() *cobra.Command {
--- a/cmd/zinclb-load/main.go
+++ b/cmd/zinclb-load/main.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/zinclb/zinclb/internal/emulator/scenario"
+	"github.com/zinclb/zinclb/internal/jsonlines"
 	"github.com/zinclb/zinclb/internal/load"
 )
 
@@ -55,7 +56,7 @@
 				entries[i].At = int64(float64(entries[i].At) / speed)
 			}
 			if record != "" {
-				return write(record, entries)
+				return jsonlines.WriteFile(record, entries)
 			}
 			o.Progress = func(t load.Totals) { fmt.Println(t) }
 			t := load.Run(entries, o)
@@ -126,14 +127,3 @@
 	slices.SortStableFunc(entries, func(a, b load.Entry) int { return cmp.Compare(a.At, b.At) })
 	return entries, nil
 }
-
-func write(path string, entries []load.Entry) error {
-	var b bytes.Buffer
-	enc := json.NewEncoder(&b)
-	for _, e := range entries {
-		if err := enc.Encode(e); err != nil {
-			return err
-		}
-	}
-	return os.WriteFile(path, b.Bytes(), 0o600)
-}
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -202,10 +202,16 @@
 
 var ops = map[string]string{"start": "run", "stop": "kill", "forget": "forget"}
 
+// Verb is an order's on the wire.
+func Verb(o core.Order) string { return ops[o.Op] }
+
+// State is a job's state on the wire.
+func State(state string) string { return jobStates[state] }
+
 func ordersWire(orders []core.Order) []orderWire {
 	out := make([]orderWire, len(orders))
 	for i, o := range orders {
-		out[i] = orderWire{Op: ops[o.Op], Task: o.Task, Attempt: o.Attempt}
+		out[i] = orderWire{Op: Verb(o), Task: o.Task, Attempt: o.Attempt}
 		if o.Op == "stop" {
 			g := float64(o.Grace) / 1e6
 			out[i].Grace = &g
@@ -219,7 +225,7 @@
 	var v any
 	switch {
 	case r.Job != nil:
-		v = jobAnswer{r.Job.ID, jobStates[r.Job.State], r.Job.Done, r.Job.Running}
+		v = jobAnswer{r.Job.ID, State(r.Job.State), r.Job.Done, r.Job.Running}
 	case r.Sweep != nil || r.Runs != nil:
 		v = encodeSweep(r)
 	case r.Ops != nil:
--- a/internal/api/workers.go
+++ b/internal/api/workers.go
@@ -46,19 +46,22 @@
 	}
 	r.Tasks = make([]core.TaskReport, len(w.Tasks))
 	for i, t := range w.Tasks {
-		state := t.State
-		if state == "ended" {
-			state = "exited"
-		}
-		why := whys[t.Why]
-		if why == "" {
-			why = t.Why
-		}
-		r.Tasks[i] = core.TaskReport{Name: t.Name, Attempt: t.Attempt, State: state, Why: why, Saved: t.Saved}
+		r.Tasks[i] = TaskReport(t.Name, t.Attempt, t.State, t.Why, t.Saved)
 	}
 	return r, nil
 }
 
+// TaskReport is a task of a report in the core's words.
+func TaskReport(name string, attempt uint64, state, why string, saved bool) core.TaskReport {
+	if state == "ended" {
+		state = "exited"
+	}
+	if w := whys[why]; w != "" {
+		why = w
+	}
+	return core.TaskReport{Name: name, Attempt: attempt, State: state, Why: why, Saved: saved}
+}
+
 // EncodeDirect makes the body of orders to a worker's own address.
 func EncodeDirect(d core.Direct) []byte {
 	b, err := json.Marshal(struct {
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -45,29 +45,53 @@
 	return 200, nil
 }
 
+// Type is a machine type on the wire.
+type Type struct {
+	Name      string   `json:"label"`
+	CPUs      float64  `json:"vcpus"`
+	GPUs      float64  `json:"gpus"`
+	MemGB     float64  `json:"mem_gb"`
+	CacheGB   float64  `json:"local_gb"`
+	FetchRate float64  `json:"fetch_gb_per_s"`
+	Price     float64  `json:"price"`
+	SpotPrice float64  `json:"market_price"`
+	BootS     float64  `json:"boot_s"`
+	Zones     []string `json:"paddocks"`
+}
+
+// Core is the type as the core has it.
+func (t Type) Core() fleet.Type {
+	return fleet.Type{Name: t.Name, Cap: ledger.Vec{CPU: int64(t.CPUs * 1000), GPU: int64(t.GPUs * 1000), Mem: int64(t.MemGB * 1000)},
+		FetchRate: int64(t.FetchRate * 1000), CacheMB: int64(t.CacheGB * 1000), Price: t.Price, SpotPrice: t.SpotPrice, Boot: int64(t.BootS * 1e6), Zones: t.Zones}
+}
+
+// Listing is a machine of the cloud's list on the wire.
+type Listing struct {
+	Name   string  `json:"name_id"`
+	Addr   string  `json:"endpoint"`
+	Type   string  `json:"breed"`
+	Zone   string  `json:"paddock"`
+	Spot   bool    `json:"borrowed"`
+	Status string  `json:"status"`
+	AgeS   float64 `json:"held_s"`
+}
+
+// Core is the listing as the core has it.
+func (l Listing) Core() core.Listing {
+	return core.Listing{Name: l.Name, Addr: l.Addr, Type: l.Type, Zone: l.Zone, Spot: l.Spot, Status: l.Status, Age: int64(l.AgeS * 1e6)}
+}
+
 // Types reads the machine types.
 func (c *Client) Types() core.Types {
 	var r struct {
-		Types []struct {
-			Name      string   `json:"label"`
-			CPUs      float64  `json:"vcpus"`
-			GPUs      float64  `json:"gpus"`
-			Mem       float64  `json:"mem_gb"`
-			FetchRate float64  `json:"fetch_gb_per_s"`
-			Cache     float64  `json:"local_gb"`
-			Price     float64  `json:"price"`
-			SpotPrice float64  `json:"market_price"`
-			Boot      float64  `json:"boot_s"`
-			Zones     []string `json:"paddocks"`
-		} `json:"breeds"`
+		Types []Type `json:"breeds"`
 	}
 	if _, err := c.do("GET", "/machine_types", nil, &r); err != nil {
 		return core.Types{Err: err}
 	}
 	var t core.Types
 	for _, w := range r.Types {
-		t.Types = append(t.Types, fleet.Type{Name: w.Name, Cap: ledger.Vec{CPU: int64(w.CPUs * 1000), GPU: int64(w.GPUs * 1000), Mem: int64(w.Mem * 1000)},
-			FetchRate: int64(w.FetchRate * 1000), CacheMB: int64(w.Cache * 1000), Price: w.Price, SpotPrice: w.SpotPrice, Boot: int64(w.Boot * 1e6), Zones: w.Zones})
+		t.Types = append(t.Types, w.Core())
 	}
 	return t
 }
@@ -78,22 +102,14 @@
 	after := ""
 	for {
 		var r struct {
-			Machines []struct {
-				Name   string  `json:"name_id"`
-				Addr   string  `json:"endpoint"`
-				Type   string  `json:"breed"`
-				Zone   string  `json:"paddock"`
-				Spot   bool    `json:"borrowed"`
-				Status string  `json:"status"`
-				Age    float64 `json:"held_s"`
-			} `json:"stokers"`
-			More bool `json:"truncated"`
+			Machines []Listing `json:"stokers"`
+			More     bool      `json:"truncated"`
 		}
 		if _, err := c.do("GET", "/rentals?after="+url.QueryEscape(after)+"&most="+strconv.Itoa(core.ListPage), nil, &r); err != nil {
 			return core.Machines{Err: err}
 		}
 		for _, m := range r.Machines {
-			out.List = append(out.List, core.Listing{Name: m.Name, Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Status: m.Status, Age: int64(m.Age * 1e6)})
+			out.List = append(out.List, m.Core())
 			after = m.Name
 		}
 		if !r.More || len(r.Machines) == 0 {
--- a/internal/core/gather.go
+++ b/internal/core/gather.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/zinclb/zinclb/internal/core/fleet"
@@ -77,16 +76,7 @@
 		if now >= int64(s.Tasks) {
 			return ""
 		}
-		better := func(a, b option) int {
-			open := func(o option) int {
-				if o.open {
-					return 1
-				}
-				return 0
-			}
-			return cmp.Or(cmp.Compare(open(a), open(b)), cmp.Compare(a.tasks, b.tasks))
-		}
-		if best.zone == "" || better(o, best) > 0 {
+		if best.zone == "" || o.open && !best.open || o.open == best.open && o.tasks > best.tasks {
 			best = o
 		}
 	}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -68,7 +68,8 @@
 			c.emit(GetTypes{})
 		}
 	}
-	c.releaseTick(call)
+	gathers := c.gathers()
+	c.releaseTick(call, gathers)
 	// A list takes a call for each page, which have to be paced as well:
 	// large fleets are listed less often, so that most calls stay for renting.
 	pages := int64(1 + c.lead.fleet.Len()/ListPage)
@@ -77,7 +78,7 @@
 		s.level -= float64(pages - 1)
 		c.emit(ListMachines{Gap: int64(1e6 / rate)})
 	}
-	c.rentTick(call)
+	c.rentTick(call, gathers)
 }
 
 func (c *Core) onTypes(m Types) {
@@ -179,12 +180,11 @@
 
 // releaseTick returns machines: silent ones, whose tasks a release ends for
 // certain, faulty and never-booting ones, and those idle for long.
-func (c *Core) releaseTick(call func() bool) {
+func (c *Core) releaseTick(call func() bool, gathers []gather) {
 	s := &c.lead.cloud
 	report := config.Secs(c.set.Workers.ReportS)
 	heard, hush, silent := 0, 0, []*fleet.Machine{}
 	idle := map[string][]*fleet.Machine{}
-	gathers := c.gathers()
 	for _, m := range c.lead.fleet.All() {
 		quiet := c.now - max(m.Heard, c.lead.since)
 		// One that has not been heard under this leader counts too, if it is
@@ -322,7 +322,7 @@
 
 // rentTick asks for one machine kind at a time where work waits or spare
 // machines are short.
-func (c *Core) rentTick(call func() bool) {
+func (c *Core) rentTick(call func() bool, gathers []gather) {
 	s := &c.lead.cloud
 	if len(c.types) == 0 || !c.sure() || c.now-c.lead.since < 5*second {
 		return
@@ -352,14 +352,11 @@
 			at(m.Type).idle++
 		}
 	}
-	per := map[market]int{}
 	for name, b := range s.booting {
 		if m := c.lead.fleet.Get(name); m == nil || m.Heard == 0 {
 			at(b.typ).booting++
-			per[b.market]++
 		}
 	}
-	gathers := c.gathers()
 	for i := range c.types {
 		t := &c.types[i]
 		n := at(t.Name)
@@ -428,6 +425,11 @@
 	return max(n, 1)
 }
 
+// open says whether machines may be asked for in a market now.
+func (s *cloudState) open(mk market, now int64) bool {
+	return !s.renting[mk] && s.refused[mk] <= now
+}
+
 // chooseMarket picks a zone and kind that has not just been refused, ordinary
 // machines first: any job may use them and they stay. Jobs that machines are
 // gathered for have theirs before.
@@ -437,7 +439,7 @@
 	for _, g := range gathers {
 		for _, spot := range []bool{false, true} {
 			mk := market{t.Name, g.zone, spot}
-			if g.spec.Allows(t.Name, g.zone, spot, t.Cap) && slices.Contains(t.Zones, g.zone) && !s.renting[mk] && s.refused[mk] <= c.now {
+			if g.spec.Allows(t.Name, g.zone, spot, t.Cap) && slices.Contains(t.Zones, g.zone) && s.open(mk, c.now) {
 				return mk, true
 			}
 		}
@@ -445,10 +447,9 @@
 	for _, spot := range []bool{false, true} {
 		for _, z := range t.Zones {
 			mk := market{t.Name, z, spot}
-			if s.renting[mk] || s.refused[mk] > c.now {
-				continue
+			if s.open(mk, c.now) {
+				opts = append(opts, mk)
 			}
-			opts = append(opts, mk)
 		}
 		if len(opts) > 0 {
 			return opts[c.rng.IntN(len(opts))], true
--- a/internal/emulator/history/history.go
+++ b/internal/emulator/history/history.go
@@ -4,6 +4,8 @@
 package history
 
 import (
+	"fmt"
+
 	"github.com/zinclb/zinclb/internal/emulator/wire"
 )
 
@@ -86,3 +88,13 @@
 	Rule string `json:"rule"`
 	What string `json:"what"`
 }
+
+func (b Breach) String() string {
+	return fmt.Sprintf("at %.3f s %s: %s", float64(b.At)/1e6, b.Rule, b.What)
+}
+
+// Judge names all that is wrong with a history: rules that it breaks, and jobs
+// whose answers could not have come about one after the other.
+func Judge(events []Event, terms Terms) []Breach {
+	return append(Check(events, terms), Linear(events, terms)...)
+}
--- a/internal/emulator/history/measure.go
+++ b/internal/emulator/history/measure.go
@@ -95,7 +95,7 @@
 			if from+within > end {
 				continue // its time is not over
 			}
-			in := func(t, within int64) {
+			in := func(t int64) {
 				all++
 				if t != 0 && t-from <= within {
 					good++
@@ -104,17 +104,17 @@
 			switch a.Kind {
 			case "accept":
 				from = j.first
-				in(j.accepted, within)
+				in(j.accepted)
 			case "wait":
 				for i := range spec.Tasks {
-					in(j.starts[i], within)
+					in(j.starts[i])
 				}
 			case "complete":
-				in(j.last, within)
+				in(j.last)
 			case "deadline":
 				if spec.DeadlineS != nil {
 					from = j.first
-					in(j.last, within)
+					in(j.last)
 				}
 			}
 		}
--- a/internal/emulator/fake/sweep.go
+++ b/internal/emulator/scenario/sweep.go
@@ -1,4 +1,4 @@
-package fake
+package scenario
 
 import (
 	"errors"
@@ -10,8 +10,8 @@
 )
 
 var (
-	kindNames  = map[ledger.Kind]string{ledger.Array: wire.Array, ledger.Gang: wire.Gang, ledger.Service: wire.Service}
-	priorities = []string{ledger.Idle: "idle", ledger.Normal: "normal", ledger.Urgent: "urgent", ledger.Production: "production"}
+	ledgerKinds = map[ledger.Kind]string{ledger.Array: wire.Array, ledger.Gang: wire.Gang, ledger.Service: wire.Service}
+	priorities  = []string{ledger.Idle: "idle", ledger.Normal: "normal", ledger.Urgent: "urgent", ledger.Production: "production"}
 )
 
 // Expand fills in the id and the runs of a sweep from its text, as whoever
@@ -26,7 +26,7 @@
 	}
 	s.ID = sub.Plan.ID
 	for i, x := range sub.Plan.Specs {
-		j := wire.Job{ID: x.ID, Class: x.Class, Team: x.Team, Kind: kindNames[x.Kind], Priority: priorities[x.Priority], Tasks: x.Tasks,
+		j := wire.Job{ID: x.ID, Class: x.Class, Team: x.Team, Kind: ledgerKinds[x.Kind], Priority: priorities[x.Priority], Tasks: x.Tasks,
 			CPUs: float64(x.Need.CPU) / 1000, GPUs: float64(x.Need.GPU) / 1000, MemGB: float64(x.Need.Mem) / 1000, Image: x.Image, ImageGB: float64(x.ImageMB) / 1000,
 			Types: x.Types, OneZone: x.OneZone, Spread: x.Spread, Spot: x.Spot, EstimateS: float64(x.Estimate) / 1e6,
 			CheckpntS: float64(x.Checkpoint) / 1e6, SaveS: float64(x.Save) / 1e6, Awaits: x.Awaits}
--- a/internal/emulator/sockets/driver.go
+++ b/internal/emulator/sockets/driver.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/zinclb/zinclb/internal/emulator/fake"
 	"github.com/zinclb/zinclb/internal/emulator/history"
 	"github.com/zinclb/zinclb/internal/emulator/wire"
 	"github.com/zinclb/zinclb/internal/emulator/world"
@@ -55,7 +54,7 @@
 	count   Progress
 
 	mu        sync.Mutex // guards what follows, which handlers read
-	endpoints map[string]*endpoint
+	endpoints map[string]endpoint
 
 	users, beats *http.Client
 	stop         chan struct{}
@@ -68,8 +67,8 @@
 
 // New makes a driver of a world; nothing is served yet.
 func New(cfg world.Config, o Options) (*Driver, error) {
-	d := &Driver{Options: o, cfg: cfg, inbox: make(chan func(), inboxSize), calls: map[uint64]func(int, any){}, endpoints: map[string]*endpoint{},
-		stop: make(chan struct{}), terms: fake.Terms(&cfg), users: client(true), beats: client(false)}
+	d := &Driver{Options: o, cfg: cfg, inbox: make(chan func(), inboxSize), calls: map[uint64]func(int, any){}, endpoints: map[string]endpoint{},
+		stop: make(chan struct{}), terms: cfg.Terms(), users: client(true), beats: client(false)}
 	w, err := world.New(cfg, func(e history.Event) {
 		d.history = append(d.history, e)
 		switch {
--- a/internal/emulator/sockets/proc.go
+++ b/internal/emulator/sockets/proc.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -29,18 +30,25 @@
 // listen opens all addresses and writes the controllers' settings.
 func (d *Driver) listen() error {
 	size := d.cfg.Params.Size
-	if _, err := d.serve(loopback(d.Port), d.balance); err != nil {
+	serve := func(addr string, h http.HandlerFunc) (string, error) {
+		e, err := d.serve(addr, h)
+		if err == nil {
+			d.closers = append(d.closers, e.close)
+		}
+		return e.addr, err
+	}
+	if _, err := serve(loopback(d.Port), d.balance); err != nil {
 		return err
 	}
 	for i := range size {
 		d.nodes = append(d.nodes, &proc{d: d, index: i, name: world.NodeName(i), front: loopback(d.Port + 1 + i), back: loopback(d.Port + 1 + size + i)})
 	}
 	for i, n := range d.nodes {
-		state, err := d.serve("127.0.0.1:0", d.pass(n.name, func() string { return world.StateHost }, readState, nil))
+		state, err := serve("127.0.0.1:0", d.pass(n.name, world.StateHost, readState, nil))
 		if err != nil {
 			return err
 		}
-		cloud, err := d.serve("127.0.0.1:0", d.pass(n.name, func() string { return world.CloudHost }, readCloud, d.addressed))
+		cloud, err := serve("127.0.0.1:0", d.pass(n.name, world.CloudHost, readCloud, d.addressed))
 		if err != nil {
 			return err
 		}
--- a/internal/emulator/world/outside.go
+++ b/internal/emulator/world/outside.go
@@ -6,8 +6,8 @@
 	"github.com/zinclb/zinclb/internal/emulator/wire"
 )
 
-// Outside is a request of somebody who is not one of the world's users: its
-// history is kept as theirs is. The call that it gets is for OutsideTold.
+// Outside records a user's request, one of the world's own or of somebody who
+// is not. The call that it gets is for OutsideTold.
 func (w *World) Outside(op, job string) (call uint64) {
 	w.next++
 	w.record(history.Event{Kind: history.Sent, Op: op, Call: w.next, Job: job})
@@ -23,7 +23,7 @@
 // Its tasks run as long as its owner estimates.
 func (w *World) Upload(j wire.Job) {
 	if w.jobs[j.ID] == nil {
-		w.jobs[j.ID] = &user{w: w, spec: j, run: config.Secs(j.EstimateS), submitted: true, over: "outside", done: map[int]bool{}, left: j.Tasks, progress: map[int]int64{}}
+		w.jobs[j.ID] = &user{w: w, spec: j, run: config.Secs(j.EstimateS), submitted: true, over: "outside", done: map[int]bool{}, progress: map[int]int64{}}
 	}
 }
 
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -241,6 +241,24 @@
 // NodeZone is the zone of a controller.
 func (c *Config) NodeZone(i int) string { return c.Params.Zones[i%len(c.Params.Zones)] }
 
+// Terms are what the rules of a world are judged by.
+func (c *Config) Terms() history.Terms {
+	t := history.Terms{Jobs: map[string]*wire.Job{}, Sweeps: map[string][]string{}, Teams: map[string]history.Limits{}, Cancel: config.Secs(c.Params.Workers.CancelS)}
+	for i := range c.Jobs {
+		t.Jobs[c.Jobs[i].Spec.ID] = &c.Jobs[i].Spec
+	}
+	for _, s := range c.Sweeps {
+		for i := range s.Jobs {
+			t.Jobs[s.Jobs[i].ID] = &s.Jobs[i]
+			t.Sweeps[history.SweepJob(s.ID)] = append(t.Sweeps[history.SweepJob(s.ID)], s.Jobs[i].ID)
+		}
+	}
+	for _, m := range c.Params.Teams {
+		t.Teams[m.Name] = history.Limits{CPUs: m.CPUsMax, GPUs: m.GPUsMax}
+	}
+	return t
+}
+
 // Next is when something will happen by itself.
 func (w *World) Next() (int64, bool) { return w.timers.Next() }
 
@@ -280,6 +298,18 @@
 
 func (w *World) after(d int64, f func()) { w.timers.Add(w.now+d, f) }
 
+// replan calls f after d, unless plan has been counted on by then: whoever has
+// one plan at a time, or takes it back, counts.
+func (w *World) replan(plan *int, d int64, f func()) {
+	*plan++
+	made := *plan
+	w.after(max(d, 0), func() {
+		if *plan == made {
+			f()
+		}
+	})
+}
+
 func (w *World) record(e history.Event) {
 	if w.Record != nil {
 		e.At = w.now
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,9 +168,11 @@
 		return
 	}
 	n.ask(build, func(r core.Reply) {
-		if path, _, _ := strings.Cut(m.Target, "?"); path == api.MetricsPath && r.Ops != nil {
-			reply(metricsResponse(r.Ops))
-			return
+		if r.Ops != nil {
+			if path, _, _ := strings.Cut(m.Target, "?"); path == api.MetricsPath {
+				reply(metricsResponse(r.Ops))
+				return
+			}
 		}
 		reply(httpwire.Response{Status: r.Status, Body: api.EncodeReply(r), RetryAfter: r.Retry})
 	})
