--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -491,11 +491,11 @@
 	case SubmitSweep:
 		c.onSubmitSweep(m)
 	case SweepStatus:
-		c.askSweep(&ask{req: m.Req, id: m.ID, kind: askSweepStatus})
+		c.askSweep(&ask{req: m.Req, id: m.ID, kind: askSweepStatus, handed: m.Handed})
 	case SweepRuns:
-		c.askSweep(&ask{req: m.Req, id: m.ID, kind: askSweepRuns, after: m.After, most: m.Most})
+		c.askSweep(&ask{req: m.Req, id: m.ID, kind: askSweepRuns, after: m.After, most: m.Most, handed: m.Handed})
 	case CancelSweep:
-		c.askSweep(&ask{req: m.Req, id: m.ID, kind: askSweepCancel})
+		c.askSweep(&ask{req: m.Req, id: m.ID, kind: askSweepCancel, handed: m.Handed})
 	case Expanded:
 		c.onExpanded(m)
 	case Ready:
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -211,8 +211,8 @@
 // forward hands a request on to a peer that the state service answers. A
 // request that was handed on is not handed on again.
 func (c *Core) forward(a *ask) bool {
-	if a.handed || a.kind >= askSweepSubmit {
-		return false // sweeps are not handed on
+	if a.handed {
+		return false
 	}
 	best := ""
 	for _, p := range c.set.Peers {
@@ -230,6 +230,14 @@
 		r = Submit{Spec: a.spec, Handed: true}
 	case askCancel:
 		r = Cancel{ID: a.id, Handed: true}
+	case askSweepSubmit:
+		r = HandedSweep{ID: a.id, Stored: a.sweep.Stored, Invalid: a.sweep.Invalid}
+	case askSweepStatus:
+		r = SweepStatus{ID: a.id, Handed: true}
+	case askSweepRuns:
+		r = SweepRuns{ID: a.id, After: a.after, Most: a.most, Handed: true}
+	case askSweepCancel:
+		r = CancelSweep{ID: a.id, Handed: true}
 	default:
 		r = Status{ID: a.id, Handed: true}
 	}
--- a/internal/core/reaching_test.go
+++ b/internal/core/reaching_test.go
@@ -313,3 +313,41 @@
 		t.Errorf("%d and %d renewals in two leases of silence", first, b.touches)
 	}
 }
+
+// TestHandedOn: what the state service does not answer here goes to a peer that
+// it does, of every kind, and no further.
+func TestHandedOn(t *testing.T) {
+	for _, tc := range []struct {
+		ask  func(handed bool) any
+		want any
+	}{
+		{func(h bool) any { return Status{Req: 1, ID: "x", Handed: h} }, Status{ID: "x", Handed: true}},
+		{func(h bool) any { return Cancel{Req: 1, ID: "x", Handed: h} }, Cancel{ID: "x", Handed: true}},
+		{func(h bool) any { return SweepStatus{Req: 1, ID: "x", Handed: h} }, SweepStatus{ID: "x", Handed: true}},
+		{func(h bool) any { return SweepRuns{Req: 1, ID: "x", After: 2, Most: 5, Handed: h} }, SweepRuns{ID: "x", After: 2, Most: 5, Handed: true}},
+		{func(h bool) any { return CancelSweep{Req: 1, ID: "x", Handed: h} }, CancelSweep{ID: "x", Handed: true}},
+		{func(h bool) any {
+			return SubmitSweep{Req: 1, Plan: &SweepPlan{ID: "x"}, Stored: "packed", Invalid: "bad", Handed: h}
+		}, HandedSweep{ID: "x", Stored: "packed", Invalid: "bad"}},
+	} {
+		b := newBetween(t, "n1")
+		b.c.set.Ops.Sweeps = true
+		b.mute = true
+		b.run(3 * second)
+		b.peer("n2", reaches(8, 8))
+		b.out = nil
+		b.step(tc.ask(false))
+		if f := find[Forward](b); len(f) != 1 || f[0].To != "n2" || f[0].Request != tc.want {
+			t.Errorf("%T: handed on as %+v", tc.want, f)
+		}
+		b.step(tc.ask(true))
+		out := b.out
+		if f := find[Forward](b); len(f) != 0 {
+			t.Errorf("%T: handed on twice", tc.want)
+		}
+		b.out = out
+		if r := find[Reply](b); len(r) != 1 || r[0].Status != 503 || r[0].Retry == 0 {
+			t.Errorf("%T: answered %+v", tc.want, r)
+		}
+	}
+}
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -51,22 +51,31 @@
 		Stored string
 		// Invalid is set if there is only an id.
 		Invalid string
+		// Handed: a peer has handed the request on, as with the others.
+		Handed bool
 	}
+	// HandedSweep is a submitted sweep on its way to a peer: what was expanded
+	// here is expanded again there, as the runs are much longer than what
+	// describes them.
+	HandedSweep struct{ ID, Stored, Invalid string }
 	// SweepStatus asks for a sweep's state, SweepRuns for some of its runs.
 	SweepStatus struct {
-		Req uint64
-		ID  string
+		Req    uint64
+		ID     string
+		Handed bool
 	}
 	// SweepRuns asks for at most Most runs from number After on.
 	SweepRuns struct {
 		Req         uint64
 		ID          string
 		After, Most int
+		Handed      bool
 	}
 	// CancelSweep asks to withdraw a sweep.
 	CancelSweep struct {
-		Req uint64
-		ID  string
+		Req    uint64
+		ID     string
+		Handed bool
 	}
 	// Expand asks for the plan of a stored description.
 	Expand struct{ ID, Stored string }
@@ -345,7 +354,7 @@
 }
 
 func (c *Core) onSubmitSweep(m SubmitSweep) {
-	a := &ask{req: m.Req, id: m.Plan.ID, kind: askSweepSubmit, since: c.now, sweep: &m}
+	a := &ask{req: m.Req, id: m.Plan.ID, kind: askSweepSubmit, since: c.now, sweep: &m, handed: m.Handed}
 	refuse := func(status int, why string) {
 		a.refusal = Reply{Status: status, Error: why}
 		c.wait(a)
--- a/internal/emulator/fake/node.go
+++ b/internal/emulator/fake/node.go
@@ -101,6 +101,22 @@
 		return func(req uint64) any { q.Req = req; return q }, nil
 	case core.CloudFor:
 		return func(req uint64) any { q.Req = req; return q }, nil
+	case core.HandedSweep:
+		m := core.SubmitSweep{Plan: &core.SweepPlan{ID: q.ID}, Stored: q.Stored, Invalid: q.Invalid, Handed: true}
+		if q.Invalid == "" {
+			plan, err := api.UnpackSweep(q.Stored)
+			if err != nil {
+				return nil, &core.Reply{Status: 503}
+			}
+			m.Plan = plan
+		}
+		return func(req uint64) any { m.Req = req; return m }, nil
+	case core.SweepStatus:
+		return func(req uint64) any { q.Req = req; return q }, nil
+	case core.SweepRuns:
+		return func(req uint64) any { q.Req = req; return q }, nil
+	case core.CancelSweep:
+		return func(req uint64) any { q.Req = req; return q }, nil
 	}
 	return nil, &core.Reply{Status: 404}
 }
--- a/internal/emulator/history/history_test.go
+++ b/internal/emulator/history/history_test.go
@@ -7,6 +7,41 @@
 	"github.com/zinclb/zinclb/internal/emulator/wire"
 )
 
+// TestServed: what counts as served of each class and team, and of what.
+func TestServed(t *testing.T) {
+	const s = 1_000_000
+	due := 50.0
+	terms := Terms{Jobs: map[string]*wire.Job{}}
+	var h []Event
+	add := func(id, class, team string, deadline *float64, at, done int64, cancelled bool) {
+		terms.Jobs[id] = &wire.Job{ID: id, Class: class, Team: team, Kind: wire.Array, Tasks: 1, EstimateS: 10, DeadlineS: deadline}
+		h = append(h, Event{At: at * s, Kind: Sent, Op: Submit, Job: id})
+		if cancelled {
+			h = append(h, Event{At: at*s + 1, Kind: Sent, Op: Withdraw, Job: id})
+		}
+		if done != 0 {
+			h = append(h, Event{At: done * s, Kind: Completed, Job: id})
+		}
+	}
+	add("in time", "due", "red", &due, 10, 59, false)
+	add("late", "due", "red", &due, 10, 61, false)
+	add("never", "due", "blue", &due, 10, 0, false)
+	add("cancelled", "due", "blue", &due, 10, 0, true)
+	add("still has time", "due", "blue", &due, 280, 0, false)
+	add("by the longest aim", "aimed", "red", nil, 100, 195, false)
+	add("after it", "aimed", "red", nil, 100, 205, false)
+	add("done some time", "free", "green", nil, 20, 290, false)
+	add("not done", "free", "green", nil, 21, 0, false)
+	add("came too late to be", "free", "green", nil, 200, 0, false)
+	h = append(h, Event{At: 300 * s, Kind: Fault})
+	got := Measure(h, terms, []Aim{{Kind: "complete", Class: "aimed", Within: 50 * s}, {Kind: "complete", Class: "aimed", Within: 100 * s}})
+	for name, want := range map[string]float64{"served class due": 1.0 / 3, "served class aimed": 0.5, "served class free": 0.5, "served team red": 0.5, "served team blue": 0, "served team green": 0.5, "served_least": 0} {
+		if v, ok := got[name]; !ok || v != want {
+			t.Errorf("%s: %v (%v), want %v", name, v, ok, want)
+		}
+	}
+}
+
 // TestCatches plants a breach of each rule into a history that breaks none.
 func TestCatches(t *testing.T) {
 	const s = 1_000_000
--- a/internal/emulator/history/measure.go
+++ b/internal/emulator/history/measure.go
@@ -65,6 +65,7 @@
 			out["tasks_lost"]++
 		}
 	}
+	served(out, jobs, terms, aims, end)
 	var accepts []float64
 	for _, id := range order {
 		if j := jobs[id]; j.accepted != 0 {
@@ -125,6 +126,61 @@
 	return out
 }
 
+// served says of each class and team which share was served, strictly: done by
+// its deadline, or within the longest aim of its class, of what was submitted
+// early enough for that. What nobody says a time of has to be done, if it came
+// early enough to be. served_least is the least of them.
+func served(out map[string]float64, jobs map[string]*course, terms Terms, aims []Aim, end int64) {
+	longest := map[string]int64{}
+	for _, a := range aims {
+		if a.Kind == "complete" {
+			longest[a.Class] = max(longest[a.Class], a.Within)
+		}
+	}
+	type count struct{ good, all int }
+	groups := map[string]*count{}
+	for id, j := range jobs {
+		spec := terms.Jobs[id]
+		if j.cancelled || spec.Kind == wire.Service {
+			continue
+		}
+		from, by := begin(jobs, spec, j), int64(0)
+		switch within := longest[spec.Class]; {
+		case spec.DeadlineS != nil:
+			by = j.first + int64(*spec.DeadlineS*1e6)
+		case within > 0:
+			by = from + within
+		case from+unaimed*int64(spec.EstimateS*1e6)+unaimedLeast < end:
+			by = end
+		}
+		if by == 0 || by > end {
+			continue // its time is not over
+		}
+		for _, name := range []string{"served class " + spec.Class, "served team " + spec.Team} {
+			if groups[name] == nil {
+				groups[name] = &count{}
+			}
+			groups[name].all++
+			if j.last != 0 && j.last <= by {
+				groups[name].good++
+			}
+		}
+	}
+	for name, c := range groups {
+		out[name] = float64(c.good) / float64(c.all)
+		if least, ok := out["served_least"]; !ok || out[name] < least {
+			out["served_least"] = out[name]
+		}
+	}
+}
+
+// A job without a time has to be done where so many times its estimate, and the
+// least beside, is left of the day.
+const (
+	unaimed      = 10
+	unaimedLeast = 60_000_000
+)
+
 // Name is the aim's figure.
 func (a Aim) Name() string {
 	name := a.Kind
--- a/internal/emulator/sockets/serve.go
+++ b/internal/emulator/sockets/serve.go
@@ -71,15 +71,18 @@
 
 // pass makes a handler that reads a request, brings it to a host and writes the
 // answer; alter may change its body first.
-func (d *Driver) pass(from, to string, read func(*http.Request) any, alter func(any) any) http.HandlerFunc {
+func (d *Driver) pass(known, to string, read func(*http.Request) any, alter func(any) any) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		q := read(r)
+		q, from := read(r), known
 		if q == nil {
 			write(w, 400, wire.Error{Error: "malformed"})
 			return
 		}
 		// A server only sees that a client has gone once the body is read.
 		_, _ = io.Copy(io.Discard, r.Body)
+		if from == "" {
+			from = d.source(r.RemoteAddr)
+		}
 		status, body, err := d.call(from, to, q, r.Context().Done())
 		if err != nil || status == 0 {
 			drop(w)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"runtime/debug"
@@ -201,21 +202,21 @@
 
 // Ask hands a user's request from a peer to the core.
 func (n *Node) Ask(a peer.AskArgs) (core.Reply, error) {
-	return n.askWait(func(req uint64) any {
-		switch {
-		case a.Submit != nil:
-			a.Submit.Req = req
-			return *a.Submit
-		case a.Cancel != nil:
-			a.Cancel.Req = req
-			return *a.Cancel
-		case a.Cloud != nil:
-			a.Cloud.Req = req
-			return *a.Cloud
+	build := a.Message
+	if s := a.Sweep; s != nil {
+		m := core.SubmitSweep{Plan: &core.SweepPlan{ID: s.ID}, Stored: s.Stored, Invalid: s.Invalid, Handed: true}
+		if s.Invalid == "" {
+			n.expanding.Lock()
+			plan, err := api.UnpackSweep(s.Stored)
+			n.expanding.Unlock()
+			if err != nil {
+				return core.Reply{}, fmt.Errorf("a sweep that was handed on: %w", err)
+			}
+			m.Plan = plan
 		}
-		a.Status.Req = req
-		return *a.Status
-	}, askPatience(a))
+		build = func(req uint64) any { m.Req = req; return m }
+	}
+	return n.askWait(build, askPatience(a))
 }
 
 // cloudPatience is how long a peer's calls of the cloud may take: a list has
@@ -366,7 +367,7 @@
 // cloudBy has a peer make a call of the cloud.
 func (n *Node) cloudBy(e core.CloudBy) {
 	var r core.Reply
-	err := n.peers[e.To].Call("Ask", peer.AskArgs{Cloud: &core.CloudFor{Token: e.Token, Call: e.Call}}, &r, cloudPatience)
+	err := n.peers[e.To].Call("Ask", peer.Ask(core.CloudFor{Token: e.Token, Call: e.Call}), &r, cloudPatience)
 	told, answer := core.CloudByEnded(e, r, err)
 	n.tell(told)
 	n.tell(answer)
@@ -374,19 +375,13 @@
 
 // forward hands a user's request on to a peer.
 func (n *Node) forward(e core.Forward) {
-	var a peer.AskArgs
 	timeout := 3500 * time.Millisecond
-	switch r := e.Request.(type) {
-	case core.Submit:
-		a.Submit = &r
-	case core.Cancel:
-		a.Cancel = &r
-	case core.Status:
-		a.Status = &r
+	switch e.Request.(type) {
+	case core.Status, core.SweepStatus, core.SweepRuns:
 		timeout = 1500 * time.Millisecond
 	}
 	var r core.Reply
-	err := n.peers[e.To].Call("Ask", a, &r, timeout)
+	err := n.peers[e.To].Call("Ask", peer.Ask(e.Request), &r, timeout)
 	n.tell(core.Forwarded{Req: e.Req, Answer: r, Err: err})
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,13 +34,70 @@
 }
 
 // AskArgs is a user's request handed on, or a call of the cloud that the sender
-// can't make itself: one of the four. An older controller knows no Cloud, and
-// answers that the request is empty.
+// can't make itself: one of them all. An older controller knows the first three,
+// and answers that the request is empty if it is none of them.
 type AskArgs struct {
 	Submit *core.Submit
 	Status *core.Status
 	Cancel *core.Cancel
 	Cloud  *core.CloudFor
+
+	Sweep       *core.HandedSweep
+	SweepStatus *core.SweepStatus
+	SweepRuns   *core.SweepRuns
+	CancelSweep *core.CancelSweep
+}
+
+// Ask wraps a request that is handed on, or makes it empty if it is none.
+func Ask(request any) (a AskArgs) {
+	switch r := request.(type) {
+	case core.Submit:
+		a.Submit = &r
+	case core.Cancel:
+		a.Cancel = &r
+	case core.Status:
+		a.Status = &r
+	case core.CloudFor:
+		a.Cloud = &r
+	case core.HandedSweep:
+		a.Sweep = &r
+	case core.SweepStatus:
+		a.SweepStatus = &r
+	case core.SweepRuns:
+		a.SweepRuns = &r
+	case core.CancelSweep:
+		a.CancelSweep = &r
+	}
+	return a
+}
+
+// Message is the request as a message to the core that numbers it, nil if it is
+// empty. A sweep is not: it has to be expanded first.
+func (a *AskArgs) Message(req uint64) any {
+	switch {
+	case a.Submit != nil && a.Submit.Spec != nil:
+		a.Submit.Req = req
+		return *a.Submit
+	case a.Cancel != nil:
+		a.Cancel.Req = req
+		return *a.Cancel
+	case a.Status != nil:
+		a.Status.Req = req
+		return *a.Status
+	case a.Cloud != nil:
+		a.Cloud.Req = req
+		return *a.Cloud
+	case a.SweepStatus != nil:
+		a.SweepStatus.Req = req
+		return *a.SweepStatus
+	case a.SweepRuns != nil:
+		a.SweepRuns.Req = req
+		return *a.SweepRuns
+	case a.CancelSweep != nil:
+		a.CancelSweep.Req = req
+		return *a.CancelSweep
+	}
+	return nil
 }
 
 // Handler is what a controller does for its peers.
@@ -68,7 +125,7 @@
 // Ask takes a user's request that a peer can't answer itself, or a call of the
 // cloud that it can't make.
 func (s *service) Ask(in AskArgs, out *core.Reply) error {
-	if in.Status == nil && in.Cancel == nil && in.Cloud == nil && (in.Submit == nil || in.Submit.Spec == nil) {
+	if in.Sweep == nil && in.Message(0) == nil {
 		return errors.New("empty request")
 	}
 	r, err := s.h.Ask(in)
