Aims on what is served; cuts with a crash or a standstill inside

Need: the emulator had no aim on the share served of a class or team, and reported no aim at all; single cuts were played without anything inside.

Change: an aim of the kind served, with a class, a team, or whichever is least; zinclb-emulator prints each aim as met or missed; 186 more cases of cuts for three controllers.

--- a/cmd/zinclb-emulator/main.go
+++ b/cmd/zinclb-emulator/main.go
@@ -98,6 +98,17 @@
 			return err
 		}
 	}
+	figures := history.Measure(h, d.Terms(), s.Aims)
+	for _, a := range s.Aims {
+		switch v, ok := figures[a.Name()]; {
+		case !ok:
+			fmt.Printf("nothing   %s: no job to count\n", a.Name())
+		case v < a.Share:
+			fmt.Printf("missed    %s: %.3f, at least %g was aimed at\n", a.Name(), v, a.Share)
+		default:
+			fmt.Printf("met       %s: %.3f, at least %g was aimed at\n", a.Name(), v, a.Share)
+		}
+	}
 	broken := history.Judge(h, d.Terms())
 	for _, b := range broken {
 		fmt.Println("broken", b)
--- a/internal/emulator/cuts/cuts.go
+++ b/internal/emulator/cuts/cuts.go
@@ -84,7 +84,8 @@
 
 // All are all cases of a size: every subset of the links of the leader and of
 // another controller, each way and manner of cutting and length; then pairs of
-// cuts, each alone and with what may happen inside.
+// cuts, each alone and with what may happen inside; then every subset of those
+// that service goes by with the same.
 func All(size int) (out []Case) {
 	for _, role := range []string{Leader, Holder} {
 		for _, set := range subsets(links(size)) {
@@ -99,19 +100,29 @@
 	}
 	for _, a := range pairLinks {
 		for _, b := range pairLinks {
-			for _, with := range []string{"", "take-over", "standstill", "crash"} {
+			for _, with := range inside {
 				for _, d := range []int64{16, 90} {
 					out = append(out, Case{Size: size, With: with, Cuts: []Cut{{Leader, a, "both", "hold", d * second}, {Holder, b, "both", "reset", d * second}}})
 				}
 			}
 		}
 	}
+	for _, role := range []string{Leader, Holder} {
+		for _, set := range subsets(links(size)[:size+len(zones)]) {
+			for _, with := range inside[1:] {
+				out = append(out, Case{Size: size, With: with, Cuts: []Cut{{role, set, "both", "hold", 90 * second}}})
+			}
+		}
+	}
 	for i := range out {
 		out[i].Seed = uint64(i + 1)
 	}
 	return out
 }
 
+// inside is what may happen a moment after a cut has begun.
+var inside = []string{"", "take-over", "standstill", "crash"}
+
 // pairLinks are the sets of links that cuts of two controllers are made of.
 var pairLinks = [][]string{{"state"}, {"peers"}, {"zone:a"}, {"zone:a", "zone:b"}, {"state", "peers"}, {"zone:a", "zone:b", "peers"}, {"state", "zone:a", "zone:b"}}
 
--- a/internal/emulator/history/measure.go
+++ b/internal/emulator/history/measure.go
@@ -7,10 +7,13 @@
 	"github.com/zinclb/zinclb/internal/emulator/wire"
 )
 
-// Aim is a share of a class's jobs, or of its tasks' starts, within a time.
+// Aim is a share of a class's jobs, or of its tasks' starts, within a time; of
+// the kind served, of a class or a team or of whichever is served least.
 type Aim struct {
-	Kind, Class string
-	Within      int64
+	Kind, Class, Team string
+	Within            int64
+	// Share is the least that is aimed at.
+	Share float64
 }
 
 // course is how a job went.
@@ -183,6 +186,15 @@
 
 // Name is the aim's figure.
 func (a Aim) Name() string {
+	switch {
+	case a.Kind != "served":
+	case a.Class != "":
+		return "served class " + a.Class
+	case a.Team != "":
+		return "served team " + a.Team
+	default:
+		return "served_least"
+	}
 	name := a.Kind
 	if a.Class != "" {
 		name += " " + a.Class
--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -102,11 +102,16 @@
 	r.machines(&m, s)
 	for i, a := range m.Aim {
 		f := fmt.Sprintf("aim[%d]", i)
-		if !slices.Contains([]string{"wait", "complete", "deadline", "accept"}, a.GetKind()) {
-			r.bad(f+".kind", "%q is none of wait, complete, deadline and accept", a.GetKind())
+		if !slices.Contains([]string{"wait", "complete", "deadline", "accept", "served"}, a.GetKind()) {
+			r.bad(f+".kind", "%q is none of wait, complete, deadline, accept and served", a.GetKind())
+		}
+		if a.GetTeam() != "" && (a.GetKind() != "served" || a.GetClass() != "") {
+			r.bad(f+".team", "only an aim of the kind served has a team, and no class beside")
+		}
+		s.Aims = append(s.Aims, history.Aim{Kind: a.GetKind(), Class: a.GetClass(), Team: a.GetTeam(), Within: r.secs(f+".within_s", a.WithinS, 0), Share: r.num(f+".share", a.Share, 0, 0, 1)})
+		if a.GetKind() == "served" {
+			continue // it is no objective of the platform's
 		}
-		r.num(f+".share", a.Share, 0, 0, 1)
-		s.Aims = append(s.Aims, history.Aim{Kind: a.GetKind(), Class: a.GetClass(), Within: r.secs(f+".within_s", a.WithinS, 0)})
 		s.Params.Objectives = append(s.Params.Objectives, config.Objective{Kind: a.GetKind(), Class: a.GetClass(), WithinS: a.GetWithinS()})
 	}
 	if len(r.errs) == 0 { // what follows needs the machines
