Machines are returned only while the leadership is proven, checked at the socket

Need: a leader that the state service no longer proves went on returning idle machines, on which a successor may have placed work by then, and a process that stood still between its decision and the call sent it afterwards.

Change: returns wait for a proof within the lease, as starts and rentals do, and rentals and returns carry the time up to which nobody else can lead; they are dropped next to the socket after it, also where a peer is to make the call.

--- a/internal/core/cloudby.go
+++ b/internal/core/cloudby.go
@@ -43,6 +43,7 @@
 		To    string
 		Token uint64
 		Call  CloudCall
+		Until int64
 	}
 	// CloudTold says how the way by a peer ended.
 	CloudTold struct {
@@ -75,9 +76,13 @@
 }
 
 // callCloud makes a call, itself or by a peer where only others reach the cloud.
+// What changes something there may go out for as long as nobody else can lead;
+// that is checked again next to the socket, as this process may stand still in
+// between.
 func (c *Core) callCloud(call CloudCall) {
+	until := c.lead.stored + c.set.Ops.LeaderLease
 	if by := c.cloudBy(); by != "" {
-		c.emit(CloudBy{To: by, Token: c.lead.token, Call: call})
+		c.emit(CloudBy{To: by, Token: c.lead.token, Call: call, Until: until})
 		return
 	}
 	switch {
@@ -86,9 +91,11 @@
 	case call.List:
 		c.emit(ListMachines{Gap: call.Gap})
 	case call.Rent != nil:
-		c.emit(*call.Rent)
+		r := *call.Rent
+		r.Until = until
+		c.emit(r)
 	default:
-		c.emit(Release{Names: call.Release})
+		c.emit(Release{Names: call.Release, Until: until})
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -363,9 +363,15 @@
 		Name, Type, Zone string
 		Spot             bool
 		Count            int
+		// Until is the time of the steady clock after which it must not go out:
+		// another controller may lead from then on.
+		Until int64
+	}
+	// Release returns machines, like Rent not after Until.
+	Release struct {
+		Names []string
+		Until int64
 	}
-	// Release returns machines.
-	Release struct{ Names []string }
 )
 
 // GoneState says whether operators take a controller for gone.
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -257,7 +257,9 @@
 			c.wantRelease(name)
 		}
 	}
-	if len(s.release) == 0 || !call() {
+	// What was decided may have waited here: a leader that may be replaced by
+	// now returns nothing, as its successor may use the machine.
+	if len(s.release) == 0 || !c.sure() || !call() {
 		return
 	}
 	n := min(len(s.release), 100)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -333,9 +333,21 @@
 		case core.CloudBy:
 			go n.cloudBy(e)
 		case core.Rent:
-			go func() { n.tell(n.cloud.Rent(e)) }()
+			go func() {
+				if n.late(e.Until) {
+					n.tell(core.Rented{Rent: e}) // asked again under the same name, if at all
+					return
+				}
+				n.tell(n.cloud.Rent(e))
+			}()
 		case core.Release:
-			go func() { n.tell(n.cloud.Release(e.Names)) }()
+			go func() {
+				if n.late(e.Until) {
+					n.tell(core.Released{Names: e.Names})
+					return
+				}
+				n.tell(n.cloud.Release(e.Names))
+			}()
 		}
 	}
 }
@@ -372,9 +384,24 @@
 	return a
 }
 
+// late says that a call which changes something must not go out any more: this
+// process has stood still since it was decided, and another may lead.
+func (n *Node) late(until int64) bool {
+	late := n.now() >= until
+	if late {
+		slog.Info("a call of the cloud is dropped, as another controller may lead by now")
+	}
+	return late
+}
+
 // cloudBy has a peer make a call of the cloud.
 func (n *Node) cloudBy(e core.CloudBy) {
 	var r core.Reply
+	if n.late(e.Until) {
+		_, answer := core.CloudByEnded(e, r, nil) // no fault of the peer's
+		n.tell(answer)
+		return
+	}
 	err := n.peers[e.To].Call("Ask", peer.Ask(core.CloudFor{Token: e.Token, Call: e.Call}), &r, cloudPatience)
 	told, answer := core.CloudByEnded(e, r, err)
 	n.tell(told)
