--- a/internal/emulator/sockets/cut_test.go
+++ b/internal/emulator/sockets/cut_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -20,14 +19,7 @@
 // the state service alone, and then while it keeps the workers alone. Another
 // leads, however long that takes, and no rule is broken.
 func TestCutLeader(t *testing.T) {
-	if testing.Short() {
-		t.Skip("it takes half a minute")
-	}
-	dir := t.TempDir()
-	binary := filepath.Join(dir, "zinclb")
-	if b, err := exec.Command("go", "build", "-o", binary, "github.com/zinclb/zinclb/cmd/zinclb").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, b)
-	}
+	dir, binary := built(t)
 	s, err := scenario.Load("../../../scenarios/quiet-day.txtpb", 6)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/emulator/sockets/protocol_test.go
+++ b/internal/emulator/sockets/protocol_test.go
@@ -168,18 +168,26 @@
 	}
 }
 
-// TestZoneOutage runs three real controllers on loopback through an outage of a
-// zone. What is judged is the history and nothing of time: no rule is broken and
-// no gang begins with only a part of its tasks.
-func TestZoneOutage(t *testing.T) {
+// built is a directory for a test with controllers as they run, which takes half a
+// minute, and their program.
+func built(t *testing.T) (dir, binary string) {
+	t.Helper()
 	if testing.Short() {
 		t.Skip("it takes half a minute")
 	}
-	dir := t.TempDir()
-	binary := filepath.Join(dir, "zinclb")
+	dir = t.TempDir()
+	binary = filepath.Join(dir, "zinclb")
 	if b, err := exec.Command("go", "build", "-o", binary, "github.com/zinclb/zinclb/cmd/zinclb").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, b)
 	}
+	return dir, binary
+}
+
+// TestZoneOutage runs three real controllers on loopback through an outage of a
+// zone. What is judged is the history and nothing of time: no rule is broken and
+// no gang begins with only a part of its tasks.
+func TestZoneOutage(t *testing.T) {
+	dir, binary := built(t)
 	s, err := scenario.Load("../../../scenarios/quiet-day.txtpb", 5)
 	if err != nil {
 		t.Fatal(err)
