--- a/internal/core/cloudby_test.go
+++ b/internal/core/cloudby_test.go
@@ -24,10 +24,12 @@
 	if r := find[Release](b); len(r) != 0 {
 		t.Errorf("returned by one that may be replaced: %+v", r)
 	}
+	b.c.machine("came up").Heard = b.now
+	b.c.lead.cloud.release = append(b.c.lead.cloud.release, "came up")
 	b.mute = false
 	b.run(2 * second)
 	r := find[Release](b)
-	if len(r) == 0 || r[0].Until <= b.now-2*second || r[0].Until > b.now+ttl {
+	if len(r) == 0 || len(r[0].Names) != 1 || r[0].Names[0] != "m" || r[0].Until <= b.now-2*second || r[0].Until > b.now+ttl {
 		t.Errorf("proven again: %+v at %d", r, b.now)
 	}
 }
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -184,6 +184,12 @@
 // certain, faulty and never-booting ones, and those idle for long.
 func (c *Core) releaseTick(call func() bool, gathers []gather) {
 	s := &c.lead.cloud
+	if !c.sure() {
+		// It may have been replaced, and its successor may use the machines: a
+		// leader that was cut off once gave up machines that had come up for the
+		// next one. What was decided before waits here as well.
+		return
+	}
 	report := config.Secs(c.set.Workers.ReportS)
 	heard, hush, silent := 0, 0, []*fleet.Machine{}
 	idle := map[string][]*fleet.Machine{}
@@ -226,12 +232,10 @@
 	// eighth of a large fleet is not few: machines die one by one, and what
 	// goes silent together is behind a cut.
 	slices.SortFunc(silent, func(a, b *fleet.Machine) int { return cmp.Compare(a.Name, b.Name) })
-	// Nor does a leader judge that the state service has not proved of late: it
-	// may be the one that is cut off, and what it asks for may be done later.
-	few := c.sure() && hush <= max(1, min(heard/8, 6+heard/64))
+	few := hush <= max(1, min(heard/8, 6+heard/64))
 	for _, m := range silent {
 		last := max(m.Heard, c.lead.since)
-		if few || c.sure() && !m.Listed && last < s.listed-2*config.Secs(c.set.Cloud.ListLagS) {
+		if few || !m.Listed && last < s.listed-2*config.Secs(c.set.Cloud.ListLagS) {
 			c.log.Info("releasing a silent machine", "machine", m.Name, "tasks", len(m.Placed))
 			c.wantRelease(m.Name)
 		}
@@ -257,9 +261,12 @@
 			c.wantRelease(name)
 		}
 	}
-	// What was decided may have waited here: a leader that may be replaced by
-	// now returns nothing, as its successor may use the machine.
-	if len(s.release) == 0 || !c.sure() || !call() {
+	// One that came up after it was given up, while this waited, has work by now.
+	s.release = slices.DeleteFunc(s.release, func(name string) bool {
+		m := c.lead.fleet.Get(name)
+		return m != nil && !m.Releasing
+	})
+	if len(s.release) == 0 || !call() {
 		return
 	}
 	n := min(len(s.release), 100)
