--- a/internal/peer/version4_test.go
+++ b/internal/peer/version4_test.go
@@ -19,6 +19,11 @@
 
 var record = flag.Bool("record", false, "writes the messages of this program for later ones to read")
 
+func asked(request any) *AskArgs {
+	a := Ask(request)
+	return &a
+}
+
 // messages4 are both directions of each call as program 4 sends them.
 func messages4() map[string]any {
 	return map[string]any{
@@ -28,27 +33,18 @@
 			Machines: []reach.Machine{{Name: "host-000001", Addr: "10.1.0.1:9000", Zone: "a"}}}},
 		"BeatArgs": &BeatArgs{From: "node-1", Onward: true, Report: core.Report{Machine: "host-000001", Addr: "10.1.0.1:9000", Type: "big", Zone: "a", Session: 2, Seq: 9, Token: 3, Notice: -1,
 			Tasks: []core.TaskReport{{Name: "job-01/0", Attempt: 2, State: "running"}}}},
-		"AskArgs submit": func() *AskArgs {
-			a := Ask(core.Submit{Spec: &ledger.Spec{ID: "job-01", Team: "t", Tasks: 2, Awaits: []string{"job-00"}}, Handed: true})
-			return &a
-		}(),
-		"AskArgs status":      func() *AskArgs { a := Ask(core.Status{ID: "job-01", Handed: true}); return &a }(),
-		"AskArgs cancel":      func() *AskArgs { a := Ask(core.Cancel{ID: "job-01", Handed: true}); return &a }(),
-		"AskArgs sweep":       func() *AskArgs { a := Ask(core.HandedSweep{ID: "s", Stored: "x", Invalid: "y"}); return &a }(),
-		"AskArgs sweep state": func() *AskArgs { a := Ask(core.SweepStatus{ID: "s", Handed: true}); return &a }(),
-		"AskArgs sweep runs":  func() *AskArgs { a := Ask(core.SweepRuns{ID: "s", After: 1, Most: 2, Handed: true}); return &a }(),
-		"AskArgs sweep end":   func() *AskArgs { a := Ask(core.CancelSweep{ID: "s", Handed: true}); return &a }(),
-		"AskArgs rent": func() *AskArgs {
-			a := Ask(core.CloudFor{Token: 3, Call: core.CloudCall{Rent: &core.Rent{Name: "r", Type: "big", Zone: "a", Spot: true, Count: 2}}})
-			return &a
-		}(),
-		"AskArgs list": func() *AskArgs {
-			a := Ask(core.CloudFor{Token: 3, Call: core.CloudCall{List: true, Gap: 7}})
-			return &a
-		}(),
-		"Reply orders": &core.Reply{Req: 1, Status: 200, Token: 3, Orders: []core.Order{{Op: "stop", Task: "job-01/1", Attempt: 1, Grace: 5}}},
-		"Reply job":    &core.Reply{Req: 1, Status: 200, Job: &core.JobState{ID: "job-01", State: "done", Done: 2}},
-		"Reply sweep":  &core.Reply{Req: 1, Status: 200, Sweep: &core.SweepState{ID: "s", State: "running", Runs: 3, Done: 1}},
+		"AskArgs submit":      asked(core.Submit{Spec: &ledger.Spec{ID: "job-01", Team: "t", Tasks: 2, Awaits: []string{"job-00"}}, Handed: true}),
+		"AskArgs status":      asked(core.Status{ID: "job-01", Handed: true}),
+		"AskArgs cancel":      asked(core.Cancel{ID: "job-01", Handed: true}),
+		"AskArgs sweep":       asked(core.HandedSweep{ID: "s", Stored: "x", Invalid: "y"}),
+		"AskArgs sweep state": asked(core.SweepStatus{ID: "s", Handed: true}),
+		"AskArgs sweep runs":  asked(core.SweepRuns{ID: "s", After: 1, Most: 2, Handed: true}),
+		"AskArgs sweep end":   asked(core.CancelSweep{ID: "s", Handed: true}),
+		"AskArgs rent":        asked(core.CloudFor{Token: 3, Call: core.CloudCall{Rent: &core.Rent{Name: "r", Type: "big", Zone: "a", Spot: true, Count: 2}}}),
+		"AskArgs list":        asked(core.CloudFor{Token: 3, Call: core.CloudCall{List: true, Gap: 7}}),
+		"Reply orders":        &core.Reply{Req: 1, Status: 200, Token: 3, Orders: []core.Order{{Op: "stop", Task: "job-01/1", Attempt: 1, Grace: 5}}},
+		"Reply job":           &core.Reply{Req: 1, Status: 200, Job: &core.JobState{ID: "job-01", State: "done", Done: 2}},
+		"Reply sweep":         &core.Reply{Req: 1, Status: 200, Sweep: &core.SweepState{ID: "s", State: "running", Runs: 3, Done: 1}},
 		"Reply cloud": &core.Reply{Req: 1, Status: 200, Cloud: &core.CloudAnswer{Status: 200, Names: []string{"host-000002"}, Types: []fleet.Type{{Name: "big", Zones: []string{"a"}}},
 			List: []core.Listing{{Name: "host-000002", Type: "big", Zone: "a", Status: "running", Age: 5}}}},
 		"Reply refused": &core.Reply{Req: 1, Status: 503, Retry: 2, Error: "why"},
@@ -93,5 +89,9 @@
 		if err := gob.NewDecoder(bytes.NewReader(raw)).DecodeValue(got); err != nil || !reflect.DeepEqual(got.Interface(), want) {
 			t.Errorf("%s: %+v, %v", name, got.Interface(), err)
 		}
+		// A request is numbered anew and is otherwise what was handed on.
+		if a, ok := got.Interface().(*AskArgs); ok && a.Sweep == nil && !reflect.DeepEqual(Ask(a.Message(0)), *a) {
+			t.Errorf("%s: handed to the core as %+v", name, a.Message(0))
+		}
 	}
 }
