--- a/internal/emulator/fake/upgrade_test.go
+++ b/internal/emulator/fake/upgrade_test.go
@@ -101,7 +101,6 @@
 					}
 					run := []*upgrade.Program{from, from, from}
 					d := small(uint64(500 + n))
-					d.Length = 500 * second
 					d.Length = 480 * second
 					failed := func(c *Cluster, f world.Fault) {
 						if err := c.Befall(f); err != nil {
