One way to leave a leadership, and one to note how a call of the cloud has ended

Giving way, a program that must not go on and a watch that is too old each dropped the lease, forgot it and stepped down in lines of their own. No change of behaviour.

--- a/internal/core/cloudby.go
+++ b/internal/core/cloudby.go
@@ -4,7 +4,6 @@
 	"errors"
 
 	"github.com/zinclb/zinclb/internal/core/fleet"
-	"github.com/zinclb/zinclb/internal/core/reach"
 )
 
 // CloudCall is one call of the cloud's interface: one of the four.
@@ -57,12 +56,14 @@
 	}
 )
 
+var errSilent = errors.New("the cloud does not answer")
+
 // Message is the answer to a call that a peer made, as the message that the call
 // has when it is made by the leader itself.
 func (a CloudAnswer) Message(call CloudCall, by string) any {
 	var err error
 	if a.Status != 200 {
-		err = errors.New("the cloud does not answer")
+		err = errSilent
 	}
 	switch {
 	case call.Types:
@@ -131,11 +132,11 @@
 
 func (c *Core) onCloudDone(m CloudDone) {
 	// It was silent for this controller too if it has no status.
-	if m.Answer.Status != 0 {
-		c.links.Cloud.Proven(c.now, c.now)
-	} else {
-		c.links.Cloud.Failed(c.now, c.now, reach.Silent)
+	var err error
+	if m.Answer.Status == 0 {
+		err = errSilent
 	}
+	c.cloudEnded("", err)
 	c.emit(Reply{Req: m.Req, Status: 200, Cloud: &m.Answer})
 }
 
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -204,13 +204,12 @@
 	c.list()
 }
 
-// giveWay leaves the leadership to a controller that can do more with it. Its
-// key goes at once, so that nobody waits for the lease.
-func (c *Core) giveWay(to, why string) {
-	c.log.Info("giving way", "to", to, "why", why)
+// leave ends a leadership whose lease would go on. Its key goes at once, so that
+// nobody waits for the lease.
+func (c *Core) leave(why string) {
 	c.emit(DropLease{Lease: c.elect.lease})
 	c.elect.lease = 0
-	c.stepDown("gave way to " + to)
+	c.stepDown(why)
 }
 
 // hold is how long reports are still answered without proof of the token.
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -173,9 +173,7 @@
 		c.unfit = why
 		c.log.Error("this program must not go on", "why", why)
 		if c.lead != nil {
-			c.emit(DropLease{Lease: c.elect.lease})
-			c.elect.lease = 0
-			c.stepDown(why)
+			c.leave(why)
 		}
 		c.synced = false
 		if starting {
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -91,9 +91,7 @@
 	switch {
 	case m.Gone && c.lead != nil:
 		// A leader takes its own progress from no list, so it begins anew.
-		c.emit(DropLease{Lease: c.elect.lease})
-		c.elect.lease = 0
-		c.stepDown("the watch is too old")
+		c.leave("the watch is too old")
 	case m.Gone:
 		c.list()
 	}
--- a/internal/core/reach/matrix.go
+++ b/internal/core/reach/matrix.go
@@ -1,7 +1,6 @@
 package reach
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -115,5 +114,5 @@
 	if len(ways) == 0 {
 		return ""
 	}
-	return slices.MinFunc(ways, cmp.Compare)
+	return slices.Min(ways)
 }
--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -36,7 +36,8 @@
 	c.sayReach()
 	if c.lead != nil && c.sure() {
 		if to, why := c.links.GiveWay(c.now); to != "" {
-			c.giveWay(to, why)
+			c.log.Info("giving way", "to", to, "why", why)
+			c.leave("gave way to " + to)
 		}
 	}
 }
