Machines that do not hear get nothing; late copies prove nothing; quick returns

Cause: that a report comes was taken to show that its machine hears.

Change: fleet.Hearing judges by what the orders of the last answer did; deaf machines are asked, and tried again after a pause. Of a machine that counts anew only answers to questions prove what is not there.

--- a/cmd/zinclb-emulator/cuts.go
+++ b/cmd/zinclb-emulator/cuts.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"sync"
 	"time"
 
@@ -22,50 +21,59 @@
 		Short: "Plays cuts that leave some links up in fake time, and lists what falls short",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			switch {
-			case size < 2 || size > 7:
-				return fmt.Errorf("--controllers: %d is not within 2 and 7", size)
-			case each < 1 || first < 0 || jobs < 1:
-				return fmt.Errorf("--each and --jobs have to be positive, --first not negative")
+			if err := checkPart(size, each, first, jobs); err != nil {
+				return err
 			}
 			return playCuts(cuts.Part(cuts.All(size), first, each), ops, jobs)
 		},
 	}
-	f := cmd.Flags()
-	f.IntVar(&size, "controllers", 3, "how many controllers there are, 2 to 7")
-	f.IntVar(&each, "each", 1, "play one case in so many")
-	f.IntVar(&first, "first", 0, "the first one to play")
-	f.IntVar(&jobs, "jobs", runtime.NumCPU(), "how many to play at once")
-	f.BoolVar(&ops.Reach, "reach", true, "whether leadership follows what controllers reach")
+	partFlags(cmd, &size, &each, &first, &jobs)
+	cmd.Flags().BoolVar(&ops.Reach, "reach", true, "whether leadership follows what controllers reach")
 	return cmd
 }
 
 func playCuts(cases []cuts.Case, ops config.Operators, jobs int) error {
+	short, could, broken := 0, 0, 0
+	playAll(cases, jobs, func(c cuts.Case) func() {
+		r, err := cuts.Play(c, ops, nil)
+		return func() {
+			if r.Could {
+				could++
+			}
+			if len(r.Breaches) > 0 {
+				broken++
+			}
+			what := r.Short()
+			if err != nil {
+				what = err.Error()
+			}
+			if what != "" {
+				short++
+				fmt.Printf("case %d, %s: %s\n", c.Seed, c, what)
+			}
+		}
+	})
+	fmt.Printf("%d played, in %d of them the service could go on, %d fell short, %d broke a rule\n", len(cases), could, short, broken)
+	if broken > 0 {
+		return fmt.Errorf("%d cases broke a rule", broken)
+	}
+	return nil
+}
+
+// playAll plays cases, so many at once; what play returns tells how one went, and
+// is called for one at a time.
+func playAll[C any](cases []C, jobs int, play func(C) (tell func())) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
-	played, short, could, broken := 0, 0, 0, 0
-	told := time.Now()
-	next := make(chan cuts.Case)
+	played, told := 0, time.Now()
+	next := make(chan C)
 	for range jobs {
 		wait.Go(func() {
 			for c := range next {
-				r, err := cuts.Play(c, ops, nil)
+				tell := play(c)
 				mu.Lock()
 				played++
-				if r.Could {
-					could++
-				}
-				if len(r.Breaches) > 0 {
-					broken++
-				}
-				what := r.Short()
-				if err != nil {
-					what = err.Error()
-				}
-				if what != "" {
-					short++
-					fmt.Printf("case %d, %s: %s\n", c.Seed, c, what)
-				}
+				tell()
 				if time.Since(told) > 10*time.Second {
 					told = time.Now()
 					fmt.Printf("%d of %d played\n", played, len(cases))
@@ -79,9 +87,4 @@
 	}
 	close(next)
 	wait.Wait()
-	fmt.Printf("%d played, in %d of them the service could go on, %d fell short, %d broke a rule\n", played, could, short, broken)
-	if broken > 0 {
-		return fmt.Errorf("%d cases broke a rule", broken)
-	}
-	return nil
 }
--- /dev/null
+++ b/cmd/zinclb-emulator/troubles.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/emulator/troubles"
+)
+
+// troublesCommand plays days with deaf machines, late copies of reports, and
+// processes and machines that are back at once.
+func troublesCommand() *cobra.Command {
+	var size, each, first, jobs int
+	cmd := &cobra.Command{
+		Use:   "troubles",
+		Short: "Plays deaf machines, late copies and quick returns in fake time, and lists what falls short",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if err := checkPart(size, each, first, jobs); err != nil {
+				return err
+			}
+			short, broken := 0, 0
+			cases := troubles.Part(troubles.All(size), first, each)
+			playAll(cases, jobs, func(c troubles.Case) func() {
+				r, err := troubles.Play(c, config.Defaults(), nil)
+				return func() {
+					what := r.Short()
+					if err != nil {
+						what = err.Error()
+					}
+					if len(r.Breaches) > 0 {
+						broken++
+					}
+					if what != "" {
+						short++
+						fmt.Printf("case %d, %s: %s\n", c.Seed, c, what)
+					}
+				}
+			})
+			fmt.Printf("%d played, %d fell short, %d broke a rule\n", len(cases), short, broken)
+			if broken > 0 {
+				return fmt.Errorf("%d cases broke a rule", broken)
+			}
+			return nil
+		},
+	}
+	partFlags(cmd, &size, &each, &first, &jobs)
+	return cmd
+}
+
+// partFlags are those of the commands that play enumerated cases.
+func partFlags(cmd *cobra.Command, size, each, first, jobs *int) {
+	f := cmd.Flags()
+	f.IntVar(size, "controllers", 3, "how many controllers there are, 2 to 7")
+	f.IntVar(each, "each", 1, "play one case in so many")
+	f.IntVar(first, "first", 0, "the first one to play")
+	f.IntVar(jobs, "jobs", runtime.NumCPU(), "how many to play at once")
+}
+
+func checkPart(size, each, first, jobs int) error {
+	switch {
+	case size < 2 || size > 7:
+		return fmt.Errorf("--controllers: %d is not within 2 and 7", size)
+	case each < 1 || first < 0 || jobs < 1:
+		return fmt.Errorf("--each and --jobs have to be positive, --first not negative")
+	}
+	return nil
+}
--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -28,6 +28,10 @@
 			// An earlier leader may go on answering it for the hold time.
 			m.Answered = c.now + c.hold()
 		}
+		if r, ok := c.lead.gone.last[name]; ok {
+			// Copies of its reports may still come: they are not news.
+			m.Session, m.Seq = r.session, r.seq
+		}
 		c.knownImages(m)
 		c.lead.fleet.Add(m)
 	}
@@ -162,11 +166,18 @@
 		refuse("a newer token exists")
 		return
 	}
+	if l.gone.released(r.Machine) {
+		// The machine is gone for certain, so this was sent long ago.
+		refuse("a report of a machine that was returned")
+		return
+	}
 	m := c.machine(r.Machine)
-	if !m.Newer(r.Session, r.Seq) {
+	if !m.Newer(r.Session, r.Seq) || !m.Plausible(r.Session, r.Seq, c.now) {
+		c.ask(m, r.Addr)
 		refuse("an older report")
 		return
 	}
+	c.heard(m, r)
 	via := b.From
 	if via == "" {
 		via = c.set.Name
@@ -175,7 +186,7 @@
 	first := m.Heard == 0
 	newSession := r.Session != m.Session
 	c.unpark(r.Machine, false)
-	m.Session, m.Seq, m.Heard, m.Answered = r.Session, r.Seq, c.now, c.now
+	m.Session, m.Seq, m.Heard = r.Session, r.Seq, c.now
 	m.Addr, m.Zone, m.Spot = r.Addr, r.Zone, r.Spot
 	m.Touch()
 	if m.Type != r.Type || m.Cap == (ledger.Vec{}) {
@@ -194,13 +205,30 @@
 		c.log.Info("spot notice", "machine", m.Name, "seconds", r.Notice/second)
 		c.drain(m, r.Notice)
 	}
+	if c.unsettled(m, r) {
+		refuse("what is on the machine has to be asked")
+		return
+	}
+	m.Answered = c.now
 	orders, ended := c.reported(m, r)
 	orders = c.missing(m, r, orders)
 	if wait := c.parkTime(m, orders, ended); wait > 0 {
 		l.lot.park(m, parked{b.Req, *r, c.now + wait})
 		return
 	}
-	c.emit(Reply{Req: b.Req, Status: 200, Token: l.token, Orders: orders})
+	c.answer(m, b.Req, orders)
+}
+
+// answer gives orders in the answer to a report. What of them takes effect shows
+// whether the machine hears.
+func (c *Core) answer(m *fleet.Machine, req uint64, orders []Order) {
+	m.Hears.Told = m.Hears.Told[:0]
+	for _, o := range orders {
+		if o.Op != "stop" {
+			m.Hears.Told = append(m.Hears.Told, fleet.Told{Task: o.Task, Attempt: o.Attempt, Forget: o.Op == "forget"})
+		}
+	}
+	c.emit(Reply{Req: req, Status: 200, Token: c.lead.token, Orders: orders})
 }
 
 // How long an answer may wait. The worker gives up on it after 4 s and tells
@@ -269,7 +297,7 @@
 	m.Answered = c.now
 	orders, _ := c.reported(m, &p.report)
 	orders = c.missing(m, &p.report, orders)
-	c.emit(Reply{Req: p.req, Status: 200, Token: c.lead.token, Orders: orders})
+	c.answer(m, p.req, orders)
 }
 
 // reported goes through the tasks that the worker lists; ended says that a
@@ -370,7 +398,7 @@
 	for k := range r.Tasks {
 		listed[r.Tasks[k].Name] = r.Tasks[k].Attempt
 	}
-	var runs []fleet.Ref
+	var runs, lost, never []fleet.Ref
 	for ref := range m.Placed {
 		j, t := ref.Job, ref.Job.Task(ref.Index)
 		name := ledger.TaskName(j.ID, ref.Index)
@@ -378,20 +406,26 @@
 			continue
 		}
 		switch {
+		case m.Anew() && (t.Seen || t.Stop != "" && t.Sent):
+			// It is asked, see unsettled.
 		case t.Seen && m.Fresh:
 			// It was here and is gone: a new session has killed it.
-			c.lost(j, ref.Index)
+			lost = append(lost, ref)
 		case t.Stop != "" && (m.Fresh || !t.Sent):
 			// The order was dropped, or never given: had the worker taken
 			// it, this later report would list the task.
-			c.clear(j, ref.Index)
+			never = append(never, ref)
 		case t.Stop == "" && j.Over == "" && t.Stored && c.sure():
 			runs = append(runs, ref)
 		}
 	}
+	c.clearAbsent(lost, never)
 	sortRefs(runs)
 	for _, ref := range runs {
 		t := ref.Job.Task(ref.Index)
+		if t.Machine != m.Name || t.Stop != "" {
+			continue // the rest of its gang was lost just now
+		}
 		t.Sent = true
 		orders = append(orders, Order{Op: "start", Task: ledger.TaskName(ref.Job.ID, ref.Index), Attempt: t.Attempt})
 	}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -67,12 +67,13 @@
 	// keepUntil puts removals of what is not needed off.
 	keepUntil int64
 	sweptAt   int64
+	gone      departed
 	sweepsAt  int64 // when sweeps were last gone on with
 	warm      warmState
 }
 
 func newLeaderState(now int64) leaderState {
-	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), lot: newLot(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}}
+	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), lot: newLot(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}, gone: departed{last: map[string]departure{}}}
 }
 
 // commitGap is the least time between transactions, to gather changes.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -178,11 +178,13 @@
 		From string
 		Need bool
 	}
-	// Probed is how a Probe that was sent at Sent ended.
+	// Probed is how a Probe that was sent at Sent ended; Report is what the
+	// machine said of itself, if it could be read.
 	Probed struct {
 		Machine string
 		Sent    int64
 		OK      bool
+		Report  *Report
 	}
 	// SetGone says that a controller will not come back, or that it may.
 	SetGone struct {
@@ -542,6 +544,7 @@
 		c.onPeerSeen(m)
 	case Probed:
 		c.links.Workers.Answered(m.Machine, m.Sent, c.now, m.OK)
+		c.onProbed(m)
 	case Ops:
 		c.onOps(m)
 	case SetGone:
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -86,6 +86,10 @@
 	Drain     bool
 	// BadJobs are jobs that failed here since the last success.
 	BadJobs map[string]bool
+	// Hears is what is known of whether answers get to it.
+	Hears Hearing
+	// anew: its reports' numbers have begun anew.
+	anew bool
 
 	// set is the one that the machine is in, at place at of its list.
 	set     *Set
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -131,10 +131,12 @@
 
 // OpsMachines counts machines by what they are doing.
 type OpsMachines struct {
-	Busy     int `json:"busy"`
-	Idle     int `json:"idle"`
-	Warming  int `json:"warming"`
-	Silent   int `json:"silent"`
+	Busy    int `json:"busy"`
+	Idle    int `json:"idle"`
+	Warming int `json:"warming"`
+	Silent  int `json:"silent"`
+	// Deaf ones report and do not hear.
+	Deaf     int `json:"deaf"`
 	Draining int `json:"draining"`
 	Booting  int `json:"booting"`
 }
@@ -222,6 +224,8 @@
 		switch {
 		case m.Drain || m.Releasing || m.NoticeAt != 0:
 			v.Machines.Draining++
+		case m.Hears.Deaf:
+			v.Machines.Deaf++
 		case !c.usable(m):
 			v.Machines.Silent++
 		case len(m.Placed) > 0:
@@ -232,6 +236,9 @@
 			v.Machines.Idle++
 		}
 	}
+	if n := v.Machines.Deaf; n > 0 {
+		v.Troubles = append(v.Troubles, fmt.Sprintf("%d machines report and do not hear what they are told", n))
+	}
 	v.Machines.Booting = len(l.cloud.booting)
 	v.Queues = make([]OpsQueue, queues)
 	for _, w := range l.waiting {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -496,6 +496,7 @@
 		// What goes through all machines, and can wait.
 		l.sweptAt = c.now
 		c.silentTick()
+		c.deafTick()
 		c.cloudTick()
 		c.logTick()
 	}
--- a/internal/core/reach/sample.go
+++ b/internal/core/reach/sample.go
@@ -60,6 +60,9 @@
 		return
 	}
 	x := s.byName[m.Name]
+	if session < x.session || session == x.session && seq <= x.seq {
+		return // a copy that comes late; a machine that counts anew is asked
+	}
 	if x.session == session && x.seq+1 == seq {
 		x.link.Proven(now, now)
 	}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -319,6 +319,7 @@
 			c.gone(fm, "released")
 			c.forgetMachine(fm)
 		}
+		c.lead.gone.note(name, Report{}, true, c.now)
 		delete(s.booting, name)
 		s.returned[name] = c.now
 	}
@@ -328,6 +329,7 @@
 // forgetMachine drops a machine that is gone, and what it was warmed with.
 func (c *Core) forgetMachine(m *fleet.Machine) {
 	c.endWarm(m)
+	c.lead.gone.note(m.Name, Report{Session: m.Session, Seq: m.Seq}, false, c.now)
 	c.lead.fleet.Remove(m)
 }
 
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -179,7 +179,7 @@
 	// whose images matter most.
 	warming, free := map[string]int{}, map[string]int{}
 	for _, m := range l.fleet.All() {
-		if !c.usable(m) || len(m.Placed) > 0 || m.Orphans != (ledger.Vec{}) {
+		if !c.usable(m) || m.Anew() || len(m.Placed) > 0 || m.Orphans != (ledger.Vec{}) {
 			continue
 		}
 		free[m.Type]++
@@ -327,8 +327,8 @@
 func (c *Core) warmOrder(m *fleet.Machine, listed bool) []Order {
 	w := m.Warm
 	switch {
-	case w == nil || listed:
-		return nil
+	case w == nil || listed || m.Anew() && w.Sent:
+		return nil // of one that counts anew a report proves nothing
 	case w.Sent && m.Fresh, len(m.Placed) > 0 && !w.Sent:
 		// The order was dropped, or something better came.
 		c.endWarm(m)
--- a/internal/emulator/history/history_test.go
+++ b/internal/emulator/history/history_test.go
@@ -42,6 +42,43 @@
 	}
 }
 
+// TestLargest: which jobs are the largest of their class, and when they count as
+// served and as begun.
+func TestLargest(t *testing.T) {
+	const s = 1_000_000
+	terms := Terms{Jobs: map[string]*wire.Job{}}
+	var h []Event
+	add := func(id, class, kind string, tasks int, started []int64, done int64) {
+		terms.Jobs[id] = &wire.Job{ID: id, Class: class, Team: "t", Kind: kind, Tasks: tasks, EstimateS: 1}
+		h = append(h, Event{At: s, Kind: Sent, Op: Submit, Job: id})
+		for i, at := range started {
+			h = append(h, Event{At: at * s, Kind: Started, Job: id, Task: i})
+		}
+		for i := range tasks {
+			if done != 0 {
+				h = append(h, Event{At: done * s, Kind: Completed, Job: id, Task: i})
+			}
+		}
+	}
+	add("wide in time", "gang", wire.Gang, 3, []int64{9, 9, 9}, 20)
+	add("wide but one", "gang", wire.Gang, 3, []int64{9, 9}, 0)
+	add("wide and late", "gang", wire.Gang, 3, []int64{242, 242, 242}, 260)
+	add("narrow, never", "gang", wire.Gang, 1, nil, 0)
+	add("an array that begins", "array", wire.Array, 40, []int64{200}, 0)
+	add("a small one", "array", wire.Array, 2, nil, 0)
+	add("of one size", "same", wire.Array, 5, nil, 0)
+	h = append(h, Event{At: 300 * s, Kind: Fault})
+	got := Measure(h, terms, nil)
+	for name, want := range map[string]float64{"largest begun gang": 1.0 / 3, "largest served gang": 2.0 / 3, "largest begun array": 1, "largest served array": 0, LargestLeast: 0} {
+		if v, ok := got[name]; !ok || v != want {
+			t.Errorf("%s: %v (%v), want %v", name, v, ok, want)
+		}
+	}
+	if _, ok := got["largest begun same"]; ok {
+		t.Error("where all are of one size none is the largest")
+	}
+}
+
 // TestCatches plants a breach of each rule into a history that breaks none.
 func TestCatches(t *testing.T) {
 	const s = 1_000_000
@@ -84,6 +121,7 @@
 		{rule: "forgotten", plant: [][]Event{ask(5*s, Poll, "j", 404, "")}},
 		{rule: "forgotten", plant: [][]Event{ask(5*s, Submit, "j", 422, "")}},
 		{rule: "forgotten", plant: [][]Event{ask(70*s, Poll, "j", 503, ""), ask(80*s, Poll, "j", 0, ""), ask(85*s, Poll, "j", 0, ""), ask(94*s, Poll, "g", 404, ""), ask(95*s, Poll, "j", 503, "")}},
+		{rule: "forgotten", plant: [][]Event{{{At: 20 * s, Kind: Fault}}, ask(70*s, Poll, "j", 503, ""), ask(90*s, Poll, "j", 0, ""), ask(96*s, Poll, "j", 503, "")}},
 		{rule: "invented", plant: [][]Event{ask(5*s, Poll, "other", 200, wire.Pending)}},
 		{rule: "invented", plant: [][]Event{{on(Entered, 4*s, "other", 0, "m0")}}},
 		{rule: "not_done", plant: [][]Event{{on(Completed, 4*s, "j", 0, "m0")}, ask(5*s, Poll, "j", 200, wire.Done)}},
--- /dev/null
+++ b/internal/emulator/troubles/troubles.go
@@ -0,0 +1,324 @@
+// Package troubles enumerates what may go wrong beside crashes and cuts:
+// machines that are heard and do not hear, copies of reports that come late,
+// controllers that only workers reach, and processes and machines that are back
+// at once. Each is played in fake time, alone and in pairs, with something else
+// inside, on a day with every kind of job, and judged by all rules.
+package troubles
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/emulator/fake"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+const second = config.Second
+
+// Trouble is one that a day may have. Begin is called with the controllers, the
+// leader first, and returns what befalls them.
+type trouble struct {
+	name  string
+	begin func(nodes []string) []world.Fault
+}
+
+// lasts is how long a trouble goes on, longer than two leases.
+const lasts = 40 * second
+
+// again lets a fault come several times, each a little longer than the last.
+func again(times int, hosts ...string) (l []world.Fault) {
+	away := []int64{50_000, 200_000, 1_000_000, 400_000, 100_000}
+	at := int64(0)
+	for i := range times {
+		l = append(l, world.Fault{At: at, Kind: "crash", Hosts: hosts, For: away[i%len(away)]})
+		at += away[i%len(away)] + 900_000
+	}
+	return l
+}
+
+// apart cuts a controller off from the state service and the other controllers.
+func apart(node string, how world.Cutting) []world.Fault {
+	return []world.Fault{{Kind: "cut", For: lasts, Hosts: []string{node}, To: []string{world.StateHost, "controllers"}, Cutting: how}}
+}
+
+var all = []trouble{
+	{"a third of the machines is deaf, orders held", func([]string) []world.Fault {
+		return []world.Fault{{Kind: "machine_deaf", Share: 0.34, For: lasts}}
+	}},
+	{"a third of the machines is deaf, orders broken", func([]string) []world.Fault {
+		return []world.Fault{{Kind: "machine_deaf", Share: 0.34, For: lasts, Cutting: world.Cutting{Reset: true}}}
+	}},
+	{"a third of the machines is deaf to the leader", func(n []string) []world.Fault {
+		return []world.Fault{{Kind: "cut", For: lasts, Hosts: n[:1], To: []string{"workers:a"}, Cutting: world.Cutting{OneWay: true}}}
+	}},
+	{"copies of reports", func([]string) []world.Fault {
+		return []world.Fault{{Kind: "report_copies", Share: 0.5, Factor: 3, For: lasts}}
+	}},
+	{"the leader has only its workers", func(n []string) []world.Fault { return apart(n[0], world.Cutting{}) }},
+	{"another has only its workers", func(n []string) []world.Fault { return apart(n[1], world.Cutting{Reset: true}) }},
+	{"machines are back at once", func([]string) []world.Fault {
+		return []world.Fault{{Kind: "machine_back", Share: 0.25, For: 200_000}, {At: 9 * second, Kind: "machine_back", Share: 0.25, For: 50_000}}
+	}},
+	{"machines are back at once and count anew", func([]string) []world.Fault {
+		return []world.Fault{{Kind: "machine_anew", Share: 0.25, For: 200_000}, {At: 9 * second, Kind: "machine_anew", Share: 0.25, For: second}}
+	}},
+	{"the leader is back at once", func(n []string) []world.Fault { return again(1, n[0]) }},
+	{"the leader is back at once, five times", func(n []string) []world.Fault { return again(5, n[0]) }},
+	{"two are back at once, twice", func(n []string) []world.Fault { return again(2, n[0], n[1]) }},
+	{"all are back at once, five times", func([]string) []world.Fault { return again(5, "all") }},
+}
+
+// inside is what else may happen 3 s after the troubles have begun.
+var inside = []trouble{
+	{"", nil},
+	{"a take-over", func(n []string) []world.Fault { return []world.Fault{{Kind: "crash", Hosts: n[:1]}} }},
+	{"a standstill", func(n []string) []world.Fault {
+		return []world.Fault{{Kind: "freeze", Hosts: n[:1], For: 8 * second}}
+	}},
+	{"the state service cut off", func(n []string) []world.Fault {
+		return []world.Fault{{Kind: "cut", Hosts: n[:1], To: []string{world.StateHost}, For: 20 * second}}
+	}},
+	{"a roll", func(n []string) []world.Fault { return []world.Fault{{Kind: "roll", For: 5 * second}} }},
+}
+
+// Case is a day with one or two troubles.
+type Case struct {
+	Size     int
+	troubles []trouble
+	with     trouble
+	Seed     uint64
+}
+
+func (c Case) String() string {
+	var l []string
+	for _, t := range c.troubles {
+		l = append(l, t.name)
+	}
+	s := fmt.Sprintf("%d controllers, %s", c.Size, strings.Join(l, " and "))
+	if c.with.name != "" {
+		s += ", with " + c.with.name
+	}
+	return s
+}
+
+// All are the cases of a size: each trouble, then each pair, with each of what
+// may happen inside.
+func All(size int) (out []Case) {
+	add := func(l ...trouble) {
+		for _, w := range inside {
+			out = append(out, Case{Size: size, troubles: l, with: w, Seed: uint64(len(out) + 1)})
+		}
+	}
+	for _, t := range all {
+		add(t)
+	}
+	for i, a := range all {
+		for _, b := range all[i+1:] {
+			add(a, b)
+		}
+	}
+	return out
+}
+
+// Part is every n-th case, from the first.
+func Part(all []Case, first, n int) (out []Case) {
+	for i := first; i < len(all); i += n {
+		out = append(out, all[i])
+	}
+	return out
+}
+
+const (
+	begins = 60 * second
+	quiet  = 130 * second // after the last trouble
+	// inTime is what jobs of 4 to 8 s have, and least the share of a class or a
+	// team that has to be done by then, over a day a quarter of which is troubled.
+	inTime = 25 * second
+	least  = 0.7
+	// leastWithin is the same of all that comes in the midst of the troubles.
+	leastWithin = 0.5
+)
+
+var zones = []string{"a", "b"}
+
+// deployment is one of three quarters' load, so that what machines lose can be
+// made up for, with services, gangs, arrays, cancellations and pipelines.
+func deployment(c Case) world.Config {
+	var cfg world.Config
+	p := &cfg.Params
+	p.Size, p.Zones = c.Size, zones
+	p.Teams = []config.Team{{Name: "red"}, {Name: "blue", CPUs: 40, CPUsMax: 80}}
+	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.GangWaitS, p.Workers.GangPeerS, p.Workers.CancelS = 2.5, 16, 30, 4, 36
+	p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 200, 60, 8, 20
+	p.Cloud.RPS, p.Cloud.ListLagS = 3, 4
+	p.ClockErrorMS = 500
+	p.Objectives = []config.Objective{{Kind: "wait", Class: "gang", WithinS: 30}, {Kind: "wait", Class: "service", WithinS: 12}}
+	cfg.Seed, cfg.Restart, cfg.StateDelay, cfg.CloudDelay, cfg.Drift, cfg.Strays = c.Seed, 4*second, 3000, 50_000, 0.0005, 0.1
+	cfg.Types = []wire.MachineType{{Name: "m", CPUs: 8, MemGB: 32, FetchRate: 1, CacheGB: 50, BootS: 15, Price: 1, SpotPrice: 0.4, Zones: zones}}
+	for _, z := range zones {
+		cfg.Machines = append(cfg.Machines, world.Machines{Type: "m", Zone: z, Count: 4})
+		cfg.Capacity = append(cfg.Capacity, world.Capacity{Type: "m", Zone: z, Count: 7})
+	}
+	cfg.Length = begins + lasts + quiet
+	add := func(id, class, team, kind string, at int64, tasks int, cpus float64, run int64) *world.Job {
+		cfg.Jobs = append(cfg.Jobs, world.Job{At: at, Run: run, Spec: wire.Job{ID: id, Class: class, Team: team, Kind: kind, Tasks: tasks, CPUs: cpus, MemGB: 1,
+			Priority: "normal", Image: "im-" + class, ImageGB: 1, EstimateS: float64(run) / 1e6}})
+		return &cfg.Jobs[len(cfg.Jobs)-1]
+	}
+	for i := range 3 {
+		j := add(fmt.Sprintf("serve-%d", i), "service", "red", wire.Service, second, 3, 2, 0)
+		j.Spec.Priority, j.Spec.Spread, j.Spec.EstimateS = "production", true, 0
+	}
+	rng := 7 * c.Seed
+	for i, at := 0, 5*second; at < cfg.Length-70*second; i, at = i+1, at+3*second {
+		rng = rng*6364136223846793005 + 1442695040888963407
+		pick := int(rng >> 33)
+		switch i % 3 {
+		case 0:
+			j := add(fmt.Sprintf("gang-%02d", i), "gang", "blue", wire.Gang, at, []int{1, 2, 4}[pick%3], 6, 8*second)
+			j.Spec.CheckpntS, j.Spec.SaveS = 4, 1
+			if pick%5 == 0 {
+				j.Cancel = at + 6*second
+			}
+		case 1:
+			add(fmt.Sprintf("array-%02d", i), "array", "red", wire.Array, at, 2+pick%12, 1, 6*second)
+		default:
+			first := fmt.Sprintf("stage-%02d", i)
+			add(first, "stage", "red", wire.Array, at, 2, 1, 4*second)
+			add(fmt.Sprintf("stage-%02d-b", i), "stage", "red", wire.Array, at, 2, 1, 4*second).Spec.Awaits = []string{first}
+		}
+	}
+	return cfg
+}
+
+// Result is how a case went.
+type Result struct {
+	Breaches []string
+	// Least is the least share of a class or a team that was served, Largest of
+	// a class's largest jobs that were served or begun in four minutes; Left are
+	// the jobs that had not ended when they should have.
+	Least, Largest float64
+	Left           []string
+	// Within is the share of the jobs submitted in the midst of the troubles
+	// that were done in time.
+	Within float64
+}
+
+// Short says what falls short of what there should be, "" if nothing does.
+func (r *Result) Short() string {
+	switch {
+	case len(r.Breaches) > 0:
+		return "broken: " + strings.Join(r.Breaches, "; ")
+	case len(r.Left) > 0:
+		return fmt.Sprintf("not over at the end: %v", r.Left)
+	case r.Least < least:
+		return fmt.Sprintf("%.2f served of a class or team", r.Least)
+	case r.Within < leastWithin:
+		return fmt.Sprintf("%.2f served of what came within", r.Within)
+	case r.Largest < 0.5:
+		return fmt.Sprintf("%.2f served or begun of a class's largest", r.Largest)
+	}
+	return ""
+}
+
+// Play plays a case; log gets what controllers write, if it is not nil.
+func Play(c Case, ops config.Operators, log *slog.Logger) (Result, error) {
+	cfg := deployment(c)
+	var failed error
+	befall := func(cl *fake.Cluster, faults []world.Fault) {
+		for _, f := range faults {
+			cl.After(f.At, func() {
+				if err := cl.Befall(f); err != nil && failed == nil {
+					failed = err
+				}
+			})
+		}
+	}
+	cl, err := fake.Run(cfg, fake.Options{Operators: ops, Log: log, Begin: func(cl *fake.Cluster) {
+		cl.After(begins, func() {
+			nodes := leaderFirst(cl)
+			for _, t := range c.troubles {
+				befall(cl, t.begin(nodes))
+			}
+		})
+		cl.After(begins+3*second, func() {
+			if c.with.begin != nil {
+				befall(cl, c.with.begin(leaderFirst(cl)))
+			}
+		})
+	}})
+	if err == nil {
+		err = failed
+	}
+	if err != nil {
+		return Result{}, fmt.Errorf("%s: %w", c, err)
+	}
+	return judge(cl), nil
+}
+
+// leaderFirst are the controllers' names, the leader's first.
+func leaderFirst(cl *fake.Cluster) []string {
+	var names []string
+	for i := range cl.Config.Params.Size {
+		names = append(names, world.NodeName(i))
+	}
+	if l := cl.Leaders(); len(l) > 0 {
+		i := slices.Index(names, l[len(l)-1])
+		names[0], names[i] = names[i], names[0]
+	}
+	return names
+}
+
+func judge(cl *fake.Cluster) Result {
+	r := Result{Least: 1, Largest: 1}
+	for _, b := range history.Judge(cl.History, cl.Terms()) {
+		r.Breaches = append(r.Breaches, b.String())
+	}
+	var aims []history.Aim
+	for _, class := range []string{"gang", "array", "stage"} {
+		aims = append(aims, history.Aim{Kind: "complete", Class: class, Within: inTime})
+	}
+	for name, v := range history.Measure(cl.History, cl.Terms(), aims) {
+		switch {
+		case name == history.ServedLeast:
+			r.Least = v
+		case name == history.LargestLeast:
+			r.Largest = v
+		case math.IsNaN(v):
+			r.Breaches = append(r.Breaches, name+" is no number")
+		}
+	}
+	r.Left = cl.World.Unfinished()
+	r.Within = within(cl)
+	return r
+}
+
+// within is the share of the jobs submitted in the midst of the troubles that
+// were done in time; a second stage has as long again.
+func within(cl *fake.Cluster) float64 {
+	left, by := map[string]int{}, map[string]int64{}
+	for _, j := range cl.Config.Jobs {
+		if j.At >= begins && j.At < begins+lasts && j.Cancel == 0 {
+			left[j.Spec.ID] = j.Spec.Tasks
+			by[j.Spec.ID] = j.At + inTime*int64(1+len(j.Spec.Awaits))
+		}
+	}
+	for _, e := range cl.History {
+		if e.Kind == history.Completed && e.At <= by[e.Job] {
+			left[e.Job]--
+		}
+	}
+	done := 0
+	for _, n := range left {
+		if n == 0 {
+			done++
+		}
+	}
+	return float64(done) / float64(max(len(left), 1))
+}
--- /dev/null
+++ b/internal/emulator/troubles/troubles_test.go
@@ -0,0 +1,28 @@
+package troubles
+
+import (
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/config"
+)
+
+// eachOf has no factor in common with the number of what happens inside.
+const eachOf = 13
+
+// TestTroubles plays a part of all days with troubles; zinclb-emulator troubles
+// plays them all.
+func TestTroubles(t *testing.T) {
+	cases := append(Part(All(3), 0, eachOf), Part(All(5), 6, 4*eachOf+1)...)
+	for _, c := range cases {
+		t.Run(c.String(), func(t *testing.T) {
+			t.Parallel()
+			r, err := Play(c, config.Defaults(), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if s := r.Short(); s != "" {
+				t.Error(s)
+			}
+		})
+	}
+}
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -167,6 +167,7 @@
 	cloud  *cloud
 	front  *front
 	gangs  map[gangKey]*gang
+	copies copies
 	jobs   map[string]*user
 	sweeps []*sweepUser
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -70,7 +70,7 @@
 		for _, s := range []struct {
 			state string
 			n     int
-		}{{"busy", m.Busy}, {"idle", m.Idle}, {"warming", m.Warming}, {"silent", m.Silent}, {"draining", m.Draining}, {"booting", m.Booting}} {
+		}{{"busy", m.Busy}, {"idle", m.Idle}, {"warming", m.Warming}, {"silent", m.Silent}, {"deaf", m.Deaf}, {"draining", m.Draining}, {"booting", m.Booting}} {
 			gauge("machines", "Machines by what they are doing, as the leader knows them.", float64(s.n), "state", s.state)
 		}
 		for i, q := range v.Queues {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -314,7 +314,10 @@
 			}()
 		case core.Probe:
 			sent := n.now()
-			go func() { n.tell(core.Probed{Machine: e.Machine, Sent: sent, OK: n.workers.probe(e.Addr)}) }()
+			go func() {
+				r, ok := n.workers.probe(e.Addr)
+				n.tell(core.Probed{Machine: e.Machine, Sent: sent, OK: ok, Report: r})
+			}()
 		case core.Direct:
 			n.workers.send(e)
 		case core.GetTypes:
@@ -473,12 +476,20 @@
 // probeMost is how long a machine may take to answer whether it can be reached.
 const probeMost = time.Second
 
-// probe asks a machine for its report, and only whether there is an answer
-// matters. The core asks for a bounded number at a time, the sample of a fleet,
-// and has to learn of each how it ended, so these take no slot.
-func (w *workerPool) probe(addr string) bool {
+// probe asks a machine for its report. That there is an answer matters even if
+// the report can't be read. The core asks for a bounded number at a time and has
+// to learn of each how it ended, so these take no slot.
+func (w *workerPool) probe(addr string) (*core.Report, bool) {
 	c := httpwire.NewClient(addr, 1, 1<<20)
 	defer c.Close()
 	m, err := c.Do("GET", "/inspect", nil, probeMost)
-	return err == nil && m.Status == 200
+	if err != nil || m.Status != 200 {
+		return nil, false
+	}
+	r, err := api.DecodeReport(m.Body)
+	if err != nil {
+		slog.Debug("a machine's report can't be read", "addr", addr, "err", err)
+		return nil, true
+	}
+	return &r, true
 }
