Money is weighed where nobody has a guarantee: pools of spot machines, spare ones by the root

A line every 10 s of what machines did showed all 1,765 machines rented, as many kept idle as are in use (spare_share 1), and ordinary machines rented first for work that may use spot ones at 0.43 of the price, until it went to spot machines all the same.

Change: weigh_money in the operators' file, by default where no team has a guarantee. A type's ordinary and spot machines are pools of their own; spare machines are the root of those in use; idle ones are returned after half of idle_return_s.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -145,6 +145,8 @@
 	Sweeps     bool
 	// Reach: leadership follows what controllers reach.
 	Reach bool
+	// WeighMoney, nil for where no team has a guarantee: see Frugal.
+	WeighMoney *bool
 	// HoldFeatures are features that this controller holds back.
 	HoldFeatures []string
 }
@@ -268,6 +270,16 @@
 	return len(p.Objectives) == 0 || slices.ContainsFunc(p.Objectives, func(o Objective) bool { return o.Kind == "wait" && o.Class == class })
 }
 
+// Frugal says whether money is weighed. A guarantee is room that a team may count
+// on at once, which is what spare machines are for; where nobody has one, they
+// are kept for what varies from moment to moment.
+func (p *Params) Frugal(o *Operators) bool {
+	if o.WeighMoney != nil {
+		return *o.WeighMoney
+	}
+	return !slices.ContainsFunc(p.Teams, func(t Team) bool { return t.CPUs > 0 || t.GPUs > 0 })
+}
+
 // Hold is how long a controller without proof of its token still answers
 // reports. A task of a cancelled job can outlive its cancellation by hold and
 // a worker's lease, so both with their margins must fit into cancel_s; it
@@ -337,6 +349,7 @@
 	}
 	o.HoldFeatures = pb.HoldFeatures
 	o.Sweeps = pb.GetSweeps()
+	o.WeighMoney = pb.WeighMoney
 	if pb.Reach != nil {
 		o.Reach = *pb.Reach
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -451,6 +451,9 @@
 	// lowered: the state service's limits have fallen to the ones to come.
 	lowered bool
 
+	// frugal: money is weighed.
+	frugal bool
+
 	desk  desk
 	elect election
 	lead  *leadership
@@ -484,6 +487,7 @@
 		peers: map[string]peerView{}, seen: map[string]redirect{}, span: ledger.ChunkTasks, graph: ledger.NewGraph(), recall: newRecall(), asking: map[string]int64{}, sweeps: map[string]*sweep{}, latch: newLatch(&set), goneAt: map[string]uint64{},
 		commit: map[uint64]func(Committed){}, gets: map[uint64]func(Got){}, reachAt: map[string]uint64{},
 		links: reach.New(set.Name, set.Boot, set.Peers, set.Zones, config.Secs(set.Workers.ReportS))}
+	c.frugal = set.Frugal(&c.set.Ops)
 	c.list()
 	return c
 }
--- /dev/null
+++ b/internal/core/pool_test.go
@@ -0,0 +1,74 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/core/fleet"
+	"github.com/zinclb/zinclb/internal/core/ledger"
+)
+
+// TestPools: where money is weighed spot machines are rented for jobs that may use
+// them and ordinary ones for the others, and spare ones by what the load varies
+// by; elsewhere ordinary ones come first, and as many as are in use are kept.
+func TestPools(t *testing.T) {
+	yes, no := true, false
+	spot, ordinary := waitingJob{spec: &ledger.Spec{Need: ledger.Vec{CPU: 500}, Spot: true}, tasks: 8}, waitingJob{spec: &ledger.Spec{Need: ledger.Vec{CPU: 1000}}, tasks: 3}
+	cases := []struct {
+		name      string
+		guarantee float64
+		weigh     *bool
+		price     float64 // of spot machines; ordinary ones cost 1
+		waiting   []waitingJob
+		busy      [2]int // ordinary and spot
+		refused   bool   // no spot machine can be had
+		want      string
+	}{
+		{name: "both wait, no guarantee", price: 0.4, waiting: []waitingJob{spot, ordinary}, want: "3 ordinary, 4 spot"},
+		{name: "with a guarantee", guarantee: 1, price: 0.4, waiting: []waitingJob{spot, ordinary}, want: "7 ordinary"},
+		{name: "with a guarantee, and weighed", guarantee: 1, weigh: &yes, price: 0.4, waiting: []waitingJob{spot, ordinary}, want: "3 ordinary, 4 spot"},
+		{name: "not weighed", weigh: &no, price: 0.4, waiting: []waitingJob{spot, ordinary}, want: "7 ordinary"},
+		{name: "spot is no cheaper", price: 1, waiting: []waitingJob{spot, ordinary}, want: "7 ordinary"},
+		{name: "no spot machine can be had", price: 0.4, waiting: []waitingJob{spot}, refused: true, want: "4 ordinary"},
+		{name: "spare ones by the root", price: 0.4, busy: [2]int{36, 9}, want: "6 ordinary, 3 spot"},
+		{name: "no spare ordinary ones for want of spot ones", price: 0.4, busy: [2]int{0, 9}, refused: true, want: ""},
+		{name: "spare ones by the share", guarantee: 1, price: 0.4, busy: [2]int{20, 9}, want: "29 ordinary"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			r.tick(6 * second)
+			r.c.set.Teams = []config.Team{{Name: "t", CPUs: tc.guarantee}}
+			r.c.set.Ops.WeighMoney = tc.weigh
+			r.c.frugal = r.c.set.Frugal(&r.c.set.Ops)
+			r.c.types = []fleet.Type{{Name: "c", Cap: ledger.Vec{CPU: 1000, Mem: 1000}, Zones: []string{"a"}, Price: 1, SpotPrice: tc.price}}
+			r.c.lead.waiting = tc.waiting
+			j := ledger.NewJob(&ledger.Spec{ID: "busy", Team: "t", Tasks: 100})
+			for kind, n := range tc.busy {
+				for i := range n {
+					m := r.c.machine(fmt.Sprintf("m-%d-%d", kind, i))
+					m.Type, m.Spot, m.Heard = "c", kind == 1, r.now
+					m.Put(fleet.Ref{Job: j, Index: i})
+				}
+			}
+			s := &r.c.lead.cloud
+			s.renting, s.retry = map[market]bool{}, nil
+			if tc.refused {
+				s.refused[market{"c", "a", true}] = r.now + second
+			}
+			r.c.out = nil
+			r.c.rentTick(func() bool { return true }, nil)
+			var got []string
+			for _, e := range r.c.out {
+				if x, ok := e.(Rent); ok {
+					got = append(got, fmt.Sprintf("%d %s", x.Count, map[bool]string{false: "ordinary", true: "spot"}[x.Spot]))
+				}
+			}
+			if s := strings.Join(got, ", "); s != tc.want {
+				t.Errorf("rents %q, want %q", s, tc.want)
+			}
+		})
+	}
+}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -3,7 +3,7 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
+	"maps"
 	"slices"
 	"strconv"
 
@@ -27,7 +27,7 @@
 	serial   int
 	booting  map[string]booting
 	release  []string
-	peaks    map[string]peak
+	peaks    map[pool]peak
 	failed   int64            // when the last list failed
 	listed   int64            // when the last list came
 	returned map[string]int64 // machines whose release was answered
@@ -46,7 +46,7 @@
 }
 
 func newCloudState(now int64) cloudState {
-	return cloudState{at: now, renting: map[market]bool{}, refused: map[market]int64{}, back: map[market]int64{}, booting: map[string]booting{}, peaks: map[string]peak{}, returned: map[string]int64{}}
+	return cloudState{at: now, renting: map[market]bool{}, refused: map[market]int64{}, back: map[market]int64{}, booting: map[string]booting{}, peaks: map[pool]peak{}, returned: map[string]int64{}}
 }
 
 func (c *Core) cloudTick() {
@@ -192,7 +192,7 @@
 	}
 	report := config.Secs(c.set.Workers.ReportS)
 	heard, hush, silent := 0, 0, []*fleet.Machine{}
-	idle := map[string][]*fleet.Machine{}
+	idle := map[pool][]*fleet.Machine{}
 	for _, m := range c.lead.fleet.All() {
 		quiet := c.now - max(m.Heard, c.lead.since)
 		// One that has not been heard under this leader counts too, if it is
@@ -208,20 +208,22 @@
 			if m.Drain && len(m.Placed) == 0 {
 				c.wantRelease(m.Name)
 			}
-			if m.IdleSince != 0 && len(m.Placed) == 0 && c.now-m.IdleSince > c.set.Ops.IdleReturn && c.now-c.lead.since > c.set.Ops.IdleReturn && !gathered(gathers, m) {
-				idle[m.Type] = append(idle[m.Type], m)
+			if m.IdleSince != 0 && len(m.Placed) == 0 && c.now-m.IdleSince > c.idleFor() && c.now-c.lead.since > c.set.Ops.IdleReturn && !gathered(gathers, m) {
+				p := c.poolOf(m.Type, m.Spot)
+				idle[p] = append(idle[p], m)
 			}
 		case len(m.Placed) > 0 && (quiet > 4*report+2*second || m.NoticeAt != 0 && c.now > m.NoticeAt && quiet > 2*report):
 			silent = append(silent, m)
 		}
 	}
 	// Of long idle machines those stay that are kept ready as spare ones.
-	for _, typ := range inOrder(idle) {
-		l := idle[typ]
+	pools := slices.SortedFunc(maps.Keys(idle), pool.compare)
+	for _, p := range pools {
+		l := idle[p]
 		slices.SortFunc(l, func(a, b *fleet.Machine) int {
 			return cmp.Or(cmp.Compare(a.IdleSince, b.IdleSince), cmp.Compare(a.Name, b.Name))
 		})
-		for _, m := range l[:max(0, len(l)-c.spare(typ))] {
+		for _, m := range l[:max(0, len(l)-c.spare(p))] {
 			c.log.Info("returning an idle machine", "machine", m.Name)
 			c.wantRelease(m.Name)
 		}
@@ -349,85 +351,56 @@
 		return
 	}
 	type count struct{ busy, idle, booting int }
-	counts := map[string]*count{}
-	at := func(t string) *count {
-		if counts[t] == nil {
-			counts[t] = &count{}
+	counts := map[pool]*count{}
+	at := func(typ string, spot bool) *count {
+		p := c.poolOf(typ, spot)
+		if counts[p] == nil {
+			counts[p] = &count{}
 		}
-		return counts[t]
+		return counts[p]
 	}
 	for _, m := range c.lead.fleet.All() {
 		switch {
 		case m.Heard == 0 || c.now-m.Heard > 15*second || m.Drain || m.Releasing || m.NoticeAt != 0:
 		case len(m.Placed) > 0:
-			at(m.Type).busy++
+			at(m.Type, m.Spot).busy++
 		default:
-			at(m.Type).idle++
+			at(m.Type, m.Spot).idle++
 		}
 	}
 	for name, b := range s.booting {
 		if m := c.lead.fleet.Get(name); m == nil || m.Heard == 0 {
-			at(b.typ).booting++
+			at(b.typ, b.spot).booting++
 		}
 	}
 	for i := range c.types {
 		t := &c.types[i]
-		n := at(t.Name)
-		need := c.shortage(t)
-		s.noteBusy(t.Name, n.busy, c.now, c.set.Ops.IdleReturn)
-		want := max(need, c.spare(t.Name)-n.idle) - n.booting
-		if want <= 0 {
-			continue
-		}
-		mk, ok := c.chooseMarket(t, gathers)
-		if !ok {
-			continue
-		}
-		if !call() {
-			return
+		for _, p := range c.pools(t) {
+			n := at(t.Name, p.spot)
+			need := c.shortage(t, p)
+			s.noteBusy(p, n.busy, c.now, c.idleFor())
+			want := max(need, c.spare(p)-n.idle) - n.booting
+			if want <= 0 {
+				continue
+			}
+			mk, ok := c.chooseMarket(t, c.kinds(p, need > n.booting), gathers)
+			if !ok {
+				continue
+			}
+			if !call() {
+				return
+			}
+			s.serial++
+			r := Rent{Name: fmt.Sprintf("zinclb-%d-%d", c.lead.token, s.serial), Type: mk.typ, Zone: mk.zone, Spot: mk.spot, Count: min(want, rentMost)}
+			s.renting[mk] = true
+			c.callCloud(CloudCall{Rent: &r})
 		}
-		s.serial++
-		r := Rent{Name: fmt.Sprintf("zinclb-%d-%d", c.lead.token, s.serial), Type: mk.typ, Zone: mk.zone, Spot: mk.spot, Count: min(want, rentMost)}
-		s.renting[mk] = true
-		c.callCloud(CloudCall{Rent: &r})
 	}
 }
 
 // rentMost is how many machines the cloud rents out at one request.
 const rentMost = 50
 
-// peak is the most machines of a type in use of late.
-type peak struct {
-	busy int
-	at   int64
-}
-
-// noteBusy keeps the peak for the time that idle machines are kept.
-func (s *cloudState) noteBusy(typ string, busy int, now, keep int64) {
-	if p := s.peaks[typ]; busy >= p.busy || now-p.at > keep {
-		s.peaks[typ] = peak{busy, now}
-	}
-}
-
-// spare is how many idle machines of a type are kept ready: a share of those
-// in use of late, and none once nothing has run for a while.
-func (c *Core) spare(typ string) int {
-	return int(math.Ceil(float64(c.lead.cloud.peaks[typ].busy) * c.set.Ops.SpareShare))
-}
-
-// shortage is how many machines of a type the waiting tasks would fill.
-func (c *Core) shortage(t *fleet.Type) int {
-	var all float64
-	for _, w := range c.lead.waiting {
-		if len(w.spec.Types) > 0 && !slices.Contains(w.spec.Types, t.Name) || !w.spec.Need.Fits(t.Cap) || w.spec.Need.GPU == 0 && t.Cap.GPU > 0 {
-			continue
-		}
-		per := perMachine(w.spec.Need, t.Cap)
-		all += float64(w.tasks) / float64(per)
-	}
-	return int(all + 0.999)
-}
-
 func perMachine(need, cap ledger.Vec) int64 {
 	n := int64(1 << 20)
 	for _, x := range [][2]int64{{need.CPU, cap.CPU}, {need.GPU, cap.GPU}, {need.Mem, cap.Mem}} {
@@ -443,21 +416,20 @@
 	return !s.renting[mk] && s.refused[mk] <= now
 }
 
-// chooseMarket picks a zone and kind that has not just been refused, ordinary
-// machines first: any job may use them and they stay. Jobs that machines are
-// gathered for have theirs before.
-func (c *Core) chooseMarket(t *fleet.Type, gathers []gather) (market, bool) {
+// chooseMarket picks a zone and kind that has not just been refused, of the kinds
+// in their order. Jobs that machines are gathered for have theirs before.
+func (c *Core) chooseMarket(t *fleet.Type, kinds []bool, gathers []gather) (market, bool) {
 	s := &c.lead.cloud
 	var opts []market
 	for _, g := range gathers {
-		for _, spot := range []bool{false, true} {
+		for _, spot := range kinds {
 			mk := market{t.Name, g.zone, spot}
 			if g.spec.Allows(t.Name, g.zone, spot, t.Cap) && slices.Contains(t.Zones, g.zone) && s.open(mk, c.now) {
 				return mk, true
 			}
 		}
 	}
-	for _, spot := range []bool{false, true} {
+	for _, spot := range kinds {
 		for _, z := range t.Zones {
 			mk := market{t.Name, z, spot}
 			if s.open(mk, c.now) {
