A class's largest jobs go first among their equals when they have not begun in a minute

Cause: pivots keep moving back where estimates are wrong, little work goes first, and a lost deadline puts a job behind its equals, so a flood of small jobs can keep a wide one waiting for as long as it lasts.

Change: sizes per class and kind in a histogram; a gang of its class's top size or an array of its top tenth that has not begun after 60 s goes after priority and guarantee, before lost deadlines and turns, and what comes free on the machines held for it is kept, also from what would end in time by its estimate.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -68,12 +68,13 @@
 	keepUntil int64
 	sweptAt   int64
 	gone      departed
+	sizes     sizes
 	sweepsAt  int64 // when sweeps were last gone on with
 	warm      warmState
 }
 
 func newLeaderState(now int64) leaderState {
-	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), lot: newLot(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}, gone: departed{last: map[string]departure{}}}
+	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), lot: newLot(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}, gone: departed{last: map[string]departure{}}, sizes: sizes{}}
 }
 
 // commitGap is the least time between transactions, to gather changes.
@@ -466,6 +467,7 @@
 	if c.lead != nil {
 		c.lead.planWanted = true
 		c.noteUse(j.Spec)
+		c.lead.sizes.note(j.Spec)
 	}
 }
 
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -176,6 +176,7 @@
 	for _, id := range inOrder(c.jobs) {
 		j := c.jobs[id]
 		c.noteUse(j.Spec)
+		c.lead.sizes.note(j.Spec)
 		j.EachPlaced(func(i int, t *ledger.Task) {
 			t.Phase, t.Stop = ledger.Unseen, ""
 			c.machine(t.Machine).Put(fleet.Ref{Job: j, Index: i})
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -329,7 +329,7 @@
 			sj.Length = forever
 		}
 		sj.OnGPUs = j.Need.GPU == 0 && !fleet.FitsWithoutGPUs(c.types, j.Spec)
-		sj.Late, sj.Turn = c.late(j), c.turn(j)
+		sj.Late, sj.Turn, sj.MustBegin = c.late(j), c.turn(j), c.mustBegin(j)
 		sj.RoomBy = c.roomBy(j, sj.Guaranteed)
 		if j.OneZone || j.Spread {
 			sj.ZoneOf = c.zonesOf(j)
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -79,6 +79,9 @@
 	Guaranteed bool
 	// Late: its deadline is lost, so it lets its equals go first.
 	Late bool
+	// MustBegin: it is one of its class's largest and has waited so long that it
+	// goes before its equals.
+	MustBegin bool
 	// OnGPUs: it needs no GPU, and yet no machine without GPUs can take it.
 	OnGPUs bool
 	// Turn is when it came or, with a deadline, its latest start.
@@ -191,9 +194,9 @@
 // exceptions that a job within its team's guarantee goes before its equals, as
 // it is not to wait for other teams, and that a job with a deadline waits its
 // turn by when it has to start at the latest, and after its equals once its
-// deadline is lost.
+// deadline is lost. Of equals those go first that are large and have to begin by now.
 func order(a, b *Job) int {
-	return cmp.Or(cmp.Compare(b.Rank, a.Rank), last(!a.Guaranteed, !b.Guaranteed), last(a.Late, b.Late), cmp.Compare(a.Turn, b.Turn), cmp.Compare(a.Arrival, b.Arrival), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(b.Rank, a.Rank), last(!a.Guaranteed, !b.Guaranteed), last(!a.MustBegin, !b.MustBegin), last(a.Late, b.Late), cmp.Compare(a.Turn, b.Turn), cmp.Compare(a.Arrival, b.Arrival), cmp.Compare(a.ID, b.ID))
 }
 
 // last puts the one that is so after the one that is not.
@@ -606,8 +609,13 @@
 		perZone[key] = append(perZone[key], o)
 		if len(perZone[key]) == n {
 			for _, o := range perZone[key] {
-				o.m.holds = append(o.m.holds, hold{at: o.at, need: j.Need, by: j, kind: kind})
 				at = max(at, o.at)
+				if j.MustBegin {
+					// Estimates have put it off long enough: what comes free there
+					// is kept, whatever would end in time by its estimate.
+					o.at = p.Now
+				}
+				o.m.holds = append(o.m.holds, hold{at: o.at, need: j.Need, by: j, kind: kind})
 			}
 			return at, true
 		}
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -69,6 +69,15 @@
 		{name: "a lost deadline comes last", machines: []*Machine{box("m0", 0)},
 			jobs: []*Job{late(arrive(1, job("lost", 0, 0, ledger.Array, 1, 8, 10))), turn(20, arrive(2, job("tight", 0, 0, ledger.Array, 1, 8, 10)))},
 			want: []string{"tight@m0"}, pivots: "lost:10"},
+		{name: "a large one that must begin goes before its equals", machines: []*Machine{box("m0", 0)},
+			jobs: []*Job{mustBegin(late(arrive(3, job("wide", 0, 0, ledger.Gang, 1, 8, 10)))), arrive(1, job("first", 0, 0, ledger.Array, 1, 8, 10))},
+			want: []string{"wide@m0"}, pivots: "first:10"},
+		{name: "but not before higher priority, and others within a guarantee", machines: []*Machine{box("m0", 0), box("m1", 0)},
+			jobs: []*Job{mustBegin(arrive(1, job("wide", 0, 0, ledger.Gang, 1, 8, 10))), arrive(2, job("high", 0, 2, ledger.Array, 1, 8, 10)), within(arrive(3, job("in", 0, 0, ledger.Array, 1, 8, 10)))},
+			want: []string{"high@m0", "in@m1"}, pivots: "wide:10"},
+		{name: "what comes free for it is kept, also from what would end in time by its estimate", machines: []*Machine{box("m0", 0, 4, 50)},
+			jobs:   []*Job{mustBegin(arrive(1, job("wide", 0, 0, ledger.Gang, 1, 8, 100))), arrive(2, job("short", 0, 0, ledger.Array, 1, 4, 10))},
+			pivots: "wide:50"},
 		{name: "a gang starts whole or not at all", machines: []*Machine{box("m0", 0), box("m1", 0, 4, 30)},
 			jobs: []*Job{job("g", 0, 0, ledger.Gang, 2, 8, 10)}, pivots: "g:30"},
 		{name: "a gang of one zone does not mix zones", machines: []*Machine{box("m0", 0), zone("b", box("m1", 0))},
@@ -174,10 +183,12 @@
 func turn(n int64, j *Job) *Job          { j.Turn = n; return j }
 func since(n int64, j *Job) *Job         { j.Known = n * s; return j }
 func roomBy(n int64, j *Job) *Job        { j.RoomBy = n * s; return j }
-func late(j *Job) *Job                   { j.Late = true; return j }
-func oneZone(j *Job) *Job                { j.OneZone = true; return j }
-func other(j *Job) *Job                  { j.Team = "other"; return j }
-func spread(j *Job) *Job                 { j.Spread = true; return j }
+func mustBegin(j *Job) *Job              { j.MustBegin = true; return j }
+
+func late(j *Job) *Job    { j.Late = true; return j }
+func oneZone(j *Job) *Job { j.OneZone = true; return j }
+func other(j *Job) *Job   { j.Team = "other"; return j }
+func spread(j *Job) *Job  { j.Spread = true; return j }
 
 // BenchmarkPlan is a round with a full fleet and a large array.
 func BenchmarkPlan(b *testing.B) {
--- /dev/null
+++ b/internal/emulator/fake/largest_test.go
@@ -0,0 +1,55 @@
+package fake
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// TestLargestBegin: wide gangs, and wide arrays whose deadline is lost, begin
+// within four minutes in a flood of small jobs of their priority that all take
+// five times as long as estimated, so that each seems to end in time.
+func TestLargestBegin(t *testing.T) {
+	for _, kind := range []string{wire.Gang, wire.Array} {
+		t.Run(kind, func(t *testing.T) {
+			d := small(71)
+			d.Params.Teams = []config.Team{{Name: "red"}, {Name: "blue"}}
+			d.up(4)
+			d.Capacity = []world.Capacity{{Type: "big", Zone: "a", Count: 2}, {Type: "big", Zone: "b", Count: 2}}
+			d.Length = 430 * second
+			d.Jobs = nil
+			due := 30.0
+			for i := range 7 {
+				j := job{At: int64(20+25*i) * second, Run: 15 * second, Spec: wire.Job{ID: fmt.Sprintf("wide-%d", i), Class: "wide", Team: "blue", Kind: kind, Priority: "normal",
+					Tasks: 1 + 3*((i+1)%2), CPUs: 11, GPUs: 1, MemGB: 4, EstimateS: 15, Image: "w", ImageGB: 1}}
+				if kind == wire.Array {
+					j.Spec.DeadlineS = &due
+				}
+				if i%2 == 0 || kind == wire.Array {
+					d.Jobs = append(d.Jobs, j)
+				}
+			}
+			for i := range 200 {
+				d.Jobs = append(d.Jobs, job{At: int64(5+2*i) * second, Run: 25 * second, Spec: wire.Job{ID: fmt.Sprintf("small-%03d", i), Class: "small", Team: "red", Kind: wire.Array, Priority: "normal",
+					Tasks: 4, CPUs: 1, MemGB: 1, EstimateS: 5, Image: "s", ImageGB: 1, DeadlineS: &due}})
+			}
+			if kind == wire.Gang {
+				d.Jobs = append(d.Jobs, job{At: 10 * second, Run: 5 * second, Spec: wire.Job{ID: "narrow", Class: "wide", Team: "blue", Kind: kind, Priority: "normal",
+					Tasks: 1, CPUs: 11, MemGB: 4, EstimateS: 5, Image: "w", ImageGB: 1}})
+			}
+			c := d.play(t, nil)
+			if l := breaches(c); len(l) > 0 {
+				t.Error(l)
+			}
+			got := history.Measure(c.History, c.Terms(), nil)
+			t.Logf("begun of the largest %.2f, of small ones done by their deadline %.2f", got["largest begun wide"], got["served class small"])
+			if v, ok := got["largest begun wide"]; !ok || v < 0.9 {
+				t.Errorf("%.2f (%v) of the largest have begun in four minutes", v, ok)
+			}
+		})
+	}
+}
