--- /dev/null
+++ b/internal/core/listing.go
@@ -0,0 +1,80 @@
+package core
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/zinclb/zinclb/internal/core/fleet"
+)
+
+// Once listed, a machine remains listed until it is gone. A list that lacks it
+// proves that, if it describes a later moment than one that had it: lists lag, one
+// may be older than the one before, and each page is a list of its own. What moment
+// is described is known within bounds: it is no later than the answer, and no
+// earlier than twice the lag before the question. A machine's age in two lists says
+// exactly how far these are apart, so the bounds get narrower with each list.
+
+// entry says between which times a list described a machine, and how long that had
+// been there.
+type entry struct{ from, to, age int64 }
+
+// listings remembers the newest entry of each machine.
+type listings struct{ entries map[string]entry }
+
+// laterThan is how much later than the last list with a machine one without it has
+// to be: ages are told in fractions of a second.
+const laterThan = second
+
+// read takes a list in the order of names, which describes moments from some time
+// to another, and returns the machines that it proves to be gone.
+func (l *listings) read(from, to int64, list []Listing) (gone []string) {
+	if l.entries == nil {
+		l.entries = map[string]entry{}
+	}
+	now := make([]entry, len(list))
+	for i, x := range list {
+		now[i] = entry{from, to, x.Age}
+		if old, ok := l.entries[x.Name]; ok {
+			// The cloud's clock and this one may drift apart.
+			apart := x.Age - old.age
+			now[i].from = max(from, old.from+apart-max(apart, -apart)/1000)
+			now[i].to = min(to, old.to+apart+max(apart, -apart)/1000)
+		}
+	}
+	for name, old := range l.entries {
+		i, found := slices.BinarySearchFunc(list, name, func(x Listing, n string) int { return strings.Compare(x.Name, n) })
+		if found || len(list) == 0 {
+			continue
+		}
+		// Its page is that of the entry before it or of the one after it.
+		if min(now[max(i-1, 0)].from, now[min(i, len(list)-1)].from) > old.to+laterThan {
+			gone = append(gone, name)
+			delete(l.entries, name)
+		}
+	}
+	for i, x := range list {
+		if old, ok := l.entries[x.Name]; !ok || x.Age > old.age {
+			l.entries[x.Name] = now[i]
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// unlisted clears what was on machines that are gone by the cloud's own word: spot
+// machines taken without a notice, of which nobody else tells before their lease.
+func (c *Core) unlisted(names []string) {
+	s := &c.lead.cloud
+	for _, name := range names {
+		delete(s.booting, name)
+		var m *fleet.Machine
+		if m = c.lead.fleet.Get(name); m == nil || m.Releasing {
+			continue // a release that is under way will be answered
+		}
+		c.log.Info("the cloud lists a machine no more", "machine", name, "tasks", len(m.Placed))
+		c.gone(m, "the cloud lists it no more")
+		c.forgetMachine(m)
+		c.lead.gone.note(name, Report{}, true, c.now)
+		c.lead.planWanted = true
+	}
+}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -31,6 +31,7 @@
 	failed   int64            // when the last list failed
 	listed   int64            // when the last list came
 	returned map[string]int64 // machines whose release was answered
+	listings listings
 }
 
 type booting struct {
@@ -73,7 +74,8 @@
 	// A list takes a call for each page, which have to be paced as well:
 	// large fleets are listed less often, so that most calls stay for renting.
 	pages := int64(1 + c.lead.fleet.Len()/ListPage)
-	if !s.listing && c.now-s.listAt >= pages*5*second && call() {
+	every := min(pages*5*second, max(5*second, int64(float64(pages)/(rate*listShare)*1e6)))
+	if !s.listing && c.now-s.listAt >= every && call() {
 		s.listing, s.listAt = true, c.now
 		s.level -= float64(pages - 1)
 		c.callCloud(CloudCall{List: true, Gap: int64(1e6 / rate)})
@@ -159,6 +161,7 @@
 		}
 	}
 	s.listed = c.now
+	c.unlisted(s.listings.read(s.listAt-2*config.Secs(c.set.Cloud.ListLagS)-second, c.now, m.List))
 	for name, at := range s.returned {
 		if c.now-at > 120*second {
 			delete(s.returned, name)
@@ -398,6 +401,10 @@
 	}
 }
 
+// listShare is the share of the calls that lists may take to come more often
+// than 5 s a page: they tell of machines that were taken without a word.
+const listShare = 0.1
+
 // rentMost is how many machines the cloud rents out at one request.
 const rentMost = 50
 
