Services leave room beside images that they have to fetch

Some 20 to 100 machines had the image, all of them full of that service's replicas; some 70 ordinary machines were idle, and none had it. Nothing but a replica brings a service's image to a machine, as warming goes by tasks that are done.

Ruled out: faster orders (idle machines with parked answers were there), tasks of cancelled services as carriers (none of them may start), moving replicas (each costs the time of a start).

Change: while at least 16 ordinary machines are idle, a replica that has to fetch its image opens a machine rather than a hole on one in use, and one service takes no more than half of each machine that it opens.

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -23,6 +23,10 @@
 // machinesAhead is for how many machines one more waiting job is held room.
 const machinesAhead = 64
 
+// roomyFrom is how many ordinary machines have to be idle for services to take more
+// machines than they fill: not while everything that there is is wanted.
+const roomyFrom = 16
+
 type pivotView struct {
 	queue int
 	job   string
@@ -100,6 +104,7 @@
 			t := c.set.Team(team)
 			return t == nil || used[team].gpu-need.GPU >= int64(t.GPUs*1000) && (t.CPUs == 0 || used[team].cpu-need.CPU >= int64(t.CPUs*1000))
 		}}
+	p.Roomy = l.cloud.idle >= roomyFrom
 	plan := p.Plan(jobs)
 	attempts := map[*ledger.Job]uint32{}
 	for _, s := range plan.Starts {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -32,6 +32,7 @@
 	listed   int64            // when the last list came
 	returned map[string]int64 // machines whose release was answered
 	listings listings
+	idle     int // ordinary machines that are, when last counted
 }
 
 type booting struct {
@@ -376,6 +377,12 @@
 			at(b.typ, b.spot).booting++
 		}
 	}
+	s.idle = 0
+	for p, n := range counts {
+		if !p.spot {
+			s.idle += n.idle
+		}
+	}
 	for i := range c.types {
 		t := &c.types[i]
 		for _, p := range c.pools(t) {
--- a/internal/core/sched/index.go
+++ b/internal/core/sched/index.go
@@ -246,6 +246,12 @@
 	return slices.Contains(m.coming, name)
 }
 
+// there says whether an image is on the machine, and not on its way only.
+func (m *Machine) there(name string) bool {
+	im, ok := m.Images[name]
+	return ok && !im.Coming
+}
+
 // claimedBefore says whether the machine is claimed for another job that j may
 // not take it from.
 func (m *Machine) claimedBefore(j *Job) bool {
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -174,6 +174,8 @@
 	Largest ledger.Vec
 	// Patience is how far off a start may be before lower work is stopped.
 	Patience int64
+	// Roomy: so many machines are idle that services may take more than they fill.
+	Roomy bool
 	// SpotFirst are the types whose ordinary machines are wanted by jobs that
 	// may use no others; of the rest ordinary ones go first, as they stay.
 	SpotFirst map[string]bool
@@ -483,6 +485,12 @@
 	case j.Spot && m.Spot != p.SpotFirst[m.Type]:
 		c += 3_000_000
 	}
+	if p.Roomy && j.Kind == ledger.Service && !m.there(j.Image) {
+		c += p.holeCost(j, m)
+		if whole && small {
+			c -= 8_000_000
+		}
+	}
 	if m.Part != j.Queue {
 		c += 500_000
 	}
@@ -494,6 +502,29 @@
 	return c
 }
 
+// holeCost keeps room beside images: a replica that has to fetch its image anyway
+// leaves what is free on machines in use to those whose image is there, and one
+// service opens machines for no more than half of what they take. Replicas stay,
+// and nothing else can bring their images to a machine.
+func (p *Planner) holeCost(j *Job, m *Machine) int64 {
+	if m.Free == m.Cap {
+		return 0
+	}
+	own := int64(0)
+	for _, r := range p.runs(m) {
+		if r.Job == j.Job {
+			own++
+		}
+	}
+	switch {
+	case own == 0:
+		return 10_000_000
+	case !j.Need.Times(2 * (own + 1)).Fits(m.Cap):
+		return 30_000_000
+	}
+	return 0
+}
+
 // hurried says that a task lost with a spot machine is likely to cost a
 // deadline that urgent work has: that of a pipeline, by one stage's slowest task.
 func (j *Job) hurried() bool {
--- a/internal/core/sched/sched_test.go
+++ b/internal/core/sched/sched_test.go
@@ -231,3 +231,44 @@
 		}
 	}
 }
+
+// TestHoles: a service leaves room beside images that it has to fetch itself, as
+// nothing but replicas brings these to a machine.
+func TestHoles(t *testing.T) {
+	cases := []struct {
+		name  string
+		roomy bool
+		tasks int
+		has   string // the machine in use that has the image
+		want  string
+	}{
+		{"with idle machines it takes half of each", true, 3, "", "idle-0 idle-0 idle-1"},
+		{"and where its image is as much as there is", true, 3, "used", "used used idle-0"},
+		{"without it fills what is in use first", false, 3, "", "used used idle-0"},
+		{"when nothing else is left it fills holes too", true, 10, "", "idle-0 idle-0 idle-0 idle-0 idle-1 idle-1 idle-1 idle-1 used used"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			machines := []*Machine{box("idle-0", 0), box("idle-1", 0), box("used", 0, 4, 900)}
+			for _, m := range machines {
+				m.FetchRate = 500
+				if m.Name == tc.has {
+					m.Images["im"] = fleet.Image{MB: 7000, Used: 1}
+				}
+			}
+			j := job("serve", 0, 3, ledger.Service, tc.tasks, 2, 100)
+			j.Image, j.ImageMB = "im", 7000
+			p := Planner{Queues: 3, Index: NewIndex(machines...), Budget: 100, Patience: 60 * s, Roomy: tc.roomy}
+			var got []string
+			for _, st := range p.Plan([]*Job{j}).Starts {
+				got = append(got, st.Machine.Name)
+			}
+			slices.Sort(got)
+			want := strings.Split(tc.want, " ")
+			slices.Sort(want)
+			if !slices.Equal(got, want) {
+				t.Errorf("on %v, want %v", got, want)
+			}
+		})
+	}
+}
