Types whose spot machines are no cheaper get either kind of machine again

Found on reading the change once more: where money is weighed, a type whose ordinary and spot machines are one pool, as spot is no cheaper, was rented ordinary ones only, so its jobs waited when none could be had. The choice of kinds now goes by whether the pools are apart, as all else there does (TestPools). In listings one variable less.

--- a/internal/core/listing.go
+++ b/internal/core/listing.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"strings"
-
-	"github.com/zinclb/zinclb/internal/core/fleet"
 )
 
 // Once listed, a machine remains listed until it is gone. A list that lacks it
@@ -67,8 +65,8 @@
 	s := &c.lead.cloud
 	for _, name := range names {
 		delete(s.booting, name)
-		var m *fleet.Machine
-		if m = c.lead.fleet.Get(name); m == nil || m.Releasing {
+		m := c.lead.fleet.Get(name)
+		if m == nil || m.Releasing {
 			continue // a release that is under way will be answered
 		}
 		c.log.Info("the cloud lists a machine no more", "machine", name, "tasks", len(m.Placed))
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -52,9 +52,9 @@
 // kinds are the kinds of machines to rent for a pool, spot or not, in order. Where
 // pools are apart the other kind comes only in need: jobs that may use spot
 // machines take ordinary ones before they wait.
-func (c *Core) kinds(p pool, needed bool) []bool {
+func (c *Core) kinds(t *fleet.Type, p pool, needed bool) []bool {
 	switch {
-	case !c.frugal:
+	case !c.apart(t):
 		return []bool{false, true} // ordinary ones: any job may use them and they stay
 	case p.spot && needed:
 		return []bool{true, false}
--- a/internal/core/pool_test.go
+++ b/internal/core/pool_test.go
@@ -24,6 +24,7 @@
 		waiting   []waitingJob
 		busy      [2]int // ordinary and spot
 		refused   bool   // no spot machine can be had
+		soldOut   bool   // no ordinary one
 		want      string
 	}{
 		{name: "both wait, no guarantee", price: 0.4, waiting: []waitingJob{spot, ordinary}, want: "3 ordinary, 4 spot"},
@@ -31,6 +32,7 @@
 		{name: "with a guarantee, and weighed", guarantee: 1, weigh: &yes, price: 0.4, waiting: []waitingJob{spot, ordinary}, want: "3 ordinary, 4 spot"},
 		{name: "not weighed", weigh: &no, price: 0.4, waiting: []waitingJob{spot, ordinary}, want: "7 ordinary"},
 		{name: "spot is no cheaper", price: 1, waiting: []waitingJob{spot, ordinary}, want: "7 ordinary"},
+		{name: "spot is no cheaper, and there is nothing else", price: 1, waiting: []waitingJob{spot}, soldOut: true, want: "4 spot"},
 		{name: "no spot machine can be had", price: 0.4, waiting: []waitingJob{spot}, refused: true, want: "4 ordinary"},
 		{name: "spare ones by the root", price: 0.4, busy: [2]int{36, 9}, want: "6 ordinary, 3 spot"},
 		{name: "no spare ordinary ones for want of spot ones", price: 0.4, busy: [2]int{0, 9}, refused: true, want: ""},
@@ -58,6 +60,9 @@
 			if tc.refused {
 				s.refused[market{"c", "a", true}] = r.now + second
 			}
+			if tc.soldOut {
+				s.refused[market{"c", "a", false}] = r.now + second
+			}
 			r.c.out = nil
 			r.c.rentTick(func() bool { return true }, nil)
 			var got []string
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -393,7 +393,7 @@
 			if want <= 0 {
 				continue
 			}
-			mk, ok := c.chooseMarket(t, c.kinds(p, need > n.booting), gathers)
+			mk, ok := c.chooseMarket(t, c.kinds(t, p, need > n.booting), gathers)
 			if !ok {
 				continue
 			}
