A new leader leaves alone what the last one's warming may use of a limit

Cause: tasks that carry images are stored nowhere, so a new leader did not count those of its predecessor against their team's limit; they are on a machine for the moment in which they have the image. Ruled out: stored placements, which were all counted. Change: warming uses an eighth of a team's limit at most; for hold and a lease after a take-over that eighth is left alone, and nothing of teams with a limit is sent out to warm. Storing them would have been a new kind of write.

--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -460,11 +460,15 @@
 	}
 	r := &sched.Room{CPU: sched.Free, GPU: sched.Free}
 	t := c.set.Team(team)
+	left := 1.0
+	if c.carriersOut() {
+		left -= carriedShare
+	}
 	if t != nil && t.CPUsMax > 0 {
-		r.CPU = int64(t.CPUsMax*1000) - used[team].cpu
+		r.CPU = int64(t.CPUsMax*1000*left) - used[team].cpu
 	}
 	if t != nil && t.GPUsMax > 0 {
-		r.GPU = int64(t.GPUsMax*1000) - used[team].gpu
+		r.GPU = int64(t.GPUsMax*1000*left) - used[team].gpu
 	}
 	rooms[team] = r
 	return r
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -273,7 +273,7 @@
 		}
 		for _, s := range w.sources[im] {
 			sp := s.spec
-			if !s.mayGo(m.Zone) || !sp.Allows(m.Type, m.Zone, m.Spot, m.Cap) || sp.Need.GPU == 0 && m.Cap.GPU > 0 || held+sp.ImageMB > m.CacheMB*8/10 || !c.withinLimit(sp.Team, used[sp.Team], sp.Need) {
+			if !s.mayGo(m.Zone) || !sp.Allows(m.Type, m.Zone, m.Spot, m.Cap) || sp.Need.GPU == 0 && m.Cap.GPU > 0 || held+sp.ImageMB > m.CacheMB*8/10 || !c.withinLimit(sp.Team, used[sp.Team], 1, sp.Need) || !c.withinLimit(sp.Team, w.used[sp.Team], c.carried(), sp.Need) {
 				continue
 			}
 			best, most = s, score
@@ -283,9 +283,28 @@
 	return best
 }
 
-func (c *Core) withinLimit(team string, u usage, need ledger.Vec) bool {
+// withinLimit says whether a team that uses so much may use more, of a share of
+// its limit.
+func (c *Core) withinLimit(team string, u usage, share float64, need ledger.Vec) bool {
 	t := c.set.Team(team)
-	return t != nil && (t.CPUsMax == 0 || u.cpu+need.CPU <= int64(t.CPUsMax*1000)) && (t.GPUsMax == 0 || u.gpu+need.GPU <= int64(t.GPUsMax*1000))
+	return t != nil && (t.CPUsMax == 0 || u.cpu+need.CPU <= int64(t.CPUsMax*1000*share)) && (t.GPUsMax == 0 || u.gpu+need.GPU <= int64(t.GPUsMax*1000*share))
+}
+
+// carriedShare is what warming may use of a team's limit at most. What the last
+// leader had out is stored nowhere, so for as long as any of it may be on its
+// machine a new one leaves that share of the limit alone, and sends out nothing of
+// teams with a limit itself: else the next would have two leaders' to reckon with.
+const carriedShare = 0.125
+
+// carriersOut says whether an earlier leader's warming may still be on machines.
+func (c *Core) carriersOut() bool { return c.lead.token > 1 && c.now-c.lead.since < c.silence() }
+
+// carried is the share of a limit that warming may use now.
+func (c *Core) carried() float64 {
+	if c.carriersOut() {
+		return 0
+	}
+	return carriedShare
 }
 
 // endWarm forgets a machine's warming; its source can be used again.
