In an outage a leader answers only while all others vouch for what they told

Cause: the right to answer reports through an outage rested on peers that knew no newer token, and on a list of cancellations told by a write that got 200. One whose write got no answer and that was then confirmed from the mirror or to the user's repeat was never told to the leader; one that had begun anew vouched with nothing read; a renewal of the lease counted though the mirror may lag. Ruled out: older values or a new list undoing what was learned; both keep it. Change: package vouch. A leader that the state service fails has each controller hand over all it knows to be cancelled, in pages, dated by the question; while a leader lives on its word a controller tells it before it tells users, so one that begins anew vouches at once. The mirror's age is proof apart from the token's; stops of one machine go in one message, also from a leader without its right.

--- a/internal/core/await.go
+++ b/internal/core/await.go
@@ -70,7 +70,7 @@
 		c.jobOver(j)
 		return
 	}
-	c.noteEnd(j.ID, ledger.End{Outcome: ledger.Cancelled, Tasks: j.Tasks})
+	c.noteEnd(j.ID, ledger.End{Outcome: ledger.Cancelled, Tasks: j.Tasks}, 0)
 }
 
 // endStored notes that a job's own end is in the state service.
@@ -129,7 +129,7 @@
 				c.log.Error("stored end can't be read", "job", id)
 			default:
 				delete(c.asking, id)
-				c.noteEnd(id, e)
+				c.noteEnd(id, e, g.Stamp)
 				c.endedFor(id, e) // if the end was known, but not to the graph
 			}
 		})
--- a/internal/core/await_test.go
+++ b/internal/core/await_test.go
@@ -92,7 +92,7 @@
 		case Touch:
 			s.step(Touched{Lease: e.Lease, Sent: s.now})
 		case View:
-			s.view(Watched{After: e.After, View: true, Asked: e.Asked})
+			s.view(Watched{After: e.After, Sent: s.now, View: true, Asked: e.Asked})
 		case Get:
 			if s.down || s.unreachable[e.Key] {
 				s.step(Got{ID: e.ID, Key: e.Key, Err: errors.New("no answer")})
@@ -154,7 +154,7 @@
 	}
 	s.step(m)
 	if news != nil && !s.quiet {
-		s.step(Watched{After: s.rev - 1, Ledger: s.rev, Changes: news})
+		s.step(Watched{After: s.rev - 1, Ledger: s.rev, Sent: s.now, Changes: news})
 	}
 }
 
--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
@@ -603,13 +605,31 @@
 
 // direct sends a stop to the worker's own address, which is faster than its
 // next report. That is safe however late it arrives: an attempt that was
-// once told to stop is never wanted again.
+// once told to stop is never wanted again. One of a job that is over may be sent
+// even by a leader that was replaced and does not know.
 func (c *Core) direct(j *ledger.Job, i int) {
 	t := j.Task(i)
 	m := c.lead.fleet.Get(t.Machine)
-	if m == nil || m.Addr == "" || !t.Sent || !c.sure() {
+	if m == nil || m.Addr == "" || !t.Sent || !c.sure() && j.Over == "" && t.Stop != stopSweep {
 		return
 	}
-	c.emit(Direct{Addr: m.Addr, Token: c.lead.token, Session: m.Session,
-		Orders: []Order{{Op: "stop", Task: ledger.TaskName(j.ID, i), Attempt: t.Attempt, Grace: t.Grace}}})
+	c.lead.directs[m.Name] = append(c.lead.directs[m.Name], Order{Op: "stop", Task: ledger.TaskName(j.ID, i), Attempt: t.Attempt, Grace: t.Grace})
+}
+
+// directMost is how many orders go to a machine at once.
+const directMost = 200
+
+// sendDirect sends a machine's orders together: hundreds of tasks may be stopped
+// in one moment, and each message takes a connection.
+func (c *Core) sendDirect() {
+	for _, name := range inOrder(c.lead.directs) {
+		m := c.lead.fleet.Get(name)
+		if m == nil {
+			continue
+		}
+		for orders := range slices.Chunk(c.lead.directs[name], directMost) {
+			c.emit(Direct{Addr: m.Addr, Token: c.lead.token, Session: m.Session, Orders: orders})
+		}
+	}
+	clear(c.lead.directs)
 }
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -372,7 +372,7 @@
 			j.Stamp = stamp
 		}
 		c.log.Info("job done", "job", j.ID, "tasks", j.Tasks)
-		c.noteEnd(j.ID, it.end)
+		c.noteEnd(j.ID, it.end, stamp)
 	}
 	if it.derived {
 		// Not by any write: one of its progress may have been under way when
@@ -448,7 +448,7 @@
 		case strings.HasPrefix(key, endPrefix):
 			var e ledger.End
 			if g.Stamp != 0 && json.Unmarshal(g.Value, &e) == nil {
-				c.noteEnd(key[len(endPrefix):], e)
+				c.noteEnd(key[len(endPrefix):], e, g.Stamp)
 				c.endStored(key[len(endPrefix):])
 			}
 		case strings.HasPrefix(key, jobPrefix):
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,6 +12,7 @@
 	"github.com/zinclb/zinclb/internal/core/ledger"
 	"github.com/zinclb/zinclb/internal/core/reach"
 	"github.com/zinclb/zinclb/internal/core/upgrade"
+	"github.com/zinclb/zinclb/internal/core/vouch"
 )
 
 // Keys of the state service.
@@ -88,11 +89,12 @@
 		Stamp   uint64
 		Removed bool
 	}
-	// Watched is the answer of a watch that began after After. View marks a
-	// read of the moment, Asked one that users wait for, Gone that the service
-	// has forgotten After.
+	// Watched is the answer of a watch that began after After and was sent at
+	// Sent. View marks a read of the moment, Asked one that users wait for, Gone
+	// that the service has forgotten After.
 	Watched struct {
 		After, Ledger     uint64
+		Sent              int64
 		Changes           []Change
 		View, Asked, Gone bool
 		Err               error
@@ -172,11 +174,15 @@
 		News PeerNews
 	}
 	// Pinged asks what this controller tells its peers; From is who asks, ""
-	// for an older one, Need that it knows too few machines.
+	// for an older one, Need that it knows too few machines. Boot is the start of
+	// who asks, Ask what this controller is to vouch for, Tell cancellations.
 	Pinged struct {
 		Req  uint64
 		From string
 		Need bool
+		Boot string
+		Ask  *vouch.Question
+		Tell *vouch.Page
 	}
 	// Probed is how a Probe that was sent at Sent ended; Report is what the
 	// machine said of itself, if it could be read.
@@ -230,9 +236,13 @@
 	Leader string
 	// StateAge is how long ago the state service last answered.
 	StateAge int64
-	// Cancelled are jobs that users were told are cancelled of late. A
-	// leader that the state service refuses learns of them this way.
+	// Cancelled are jobs that users were told are cancelled of late, for a
+	// leader of an older program: newer ones learn of them from Vouch.
 	Cancelled []string
+	// Vouch answers a question, Ack says whether this controller lives on the
+	// word of the one that it answers. Older ones say neither.
+	Vouch *vouch.Page
+	Ack   *vouch.Ack
 	// Version is the format that the controller can write, 0 before there was
 	// any, Features what it has; older ones say nothing of these.
 	Version  int
@@ -340,10 +350,13 @@
 		To      string
 		Request any
 	}
-	// Ping asks a peer whether it is there.
+	// Ping asks a peer whether it is there; see Pinged.
 	Ping struct {
 		Peer string
 		Need bool
+		Boot string
+		Ask  *vouch.Question
+		Tell *vouch.Page
 	}
 	// Probe asks a machine whether it can be reached.
 	Probe struct{ Machine, Addr string }
@@ -465,10 +478,12 @@
 	// behind is the newest revision that an answer has told of, behindAt when.
 	behind   uint64
 	behindAt int64
-	// newest is the newest leadership that this controller has heard of,
-	// told the cancellations it has told users of.
+	// newest is the newest leadership that this controller has heard of.
 	newest leaderValue
-	told   []toldCancel
+	// witness vouches for what this controller tells users, tells are answers
+	// that wait for a leader to know of a cancellation.
+	witness *vouch.Witness
+	tells   tells
 	// stateOK and stateBad are when the state service last answered a
 	// request, and when it last failed one.
 	stateOK, stateBad int64
@@ -488,6 +503,8 @@
 		commit: map[uint64]func(Committed){}, gets: map[uint64]func(Got){}, reachAt: map[string]uint64{},
 		links: reach.New(set.Name, set.Boot, set.Peers, set.Zones, config.Secs(set.Workers.ReportS))}
 	c.frugal = set.Frugal(&c.set.Ops)
+	c.witness = vouch.NewWitness(set.Boot, set.Peers, set.Hold(), now)
+	c.tells.sent = map[string]int64{}
 	c.list()
 	return c
 }
@@ -575,6 +592,9 @@
 	if c.lead != nil {
 		c.leadStep()
 	}
+	if c.lead != nil {
+		c.sendDirect()
+	}
 	out := c.out
 	c.out = nil
 	return out
@@ -604,7 +624,7 @@
 	if c.now-c.pinged >= second {
 		c.pinged = c.now
 		for _, p := range c.set.Peers {
-			c.emit(Ping{Peer: p, Need: c.set.Ops.Reach && c.links.Workers.Lacks(c.set.Zones)})
+			c.ping(p)
 		}
 		for m, r := range c.seen {
 			if c.now-max(r.at, r.keep, r.served) > 2*cameBack {
@@ -613,6 +633,7 @@
 		}
 	}
 	c.deskTick()
+	c.tellsTick()
 	c.electTick()
 	c.joinTick()
 	c.reachTick()
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -4,6 +4,7 @@
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 	"github.com/zinclb/zinclb/internal/core/reach"
+	"github.com/zinclb/zinclb/internal/core/vouch"
 )
 
 // election is this controller's side of choosing a leader: a lease in the
@@ -25,12 +26,18 @@
 	token uint64
 	stamp uint64 // of the leadership key
 	since int64
-	// proof is when a question was sent whose answer proved the token, by
-	// whom ever; stored the same for the state service alone.
-	proof  int64
-	stored int64
-	fleet  *fleet.Set
-	roster roster
+	// stored is when a question was sent by whose answer the state service proved
+	// the token, mirrored up to when all that was stored is known here.
+	stored, mirrored int64
+	// viewed is when what is stored was last asked for only to know it, asked when
+	// the peers were last asked out of turn.
+	viewed, asked int64
+	// words are what the other controllers have vouched for.
+	words *vouch.Words
+	// directs are orders that go to machines' own addresses, by machine.
+	directs map[string][]Order
+	fleet   *fleet.Set
+	roster  roster
 	leaderState
 }
 
@@ -157,19 +164,20 @@
 }
 
 // checkLeadership compares the mirror's leader with what this controller
-// takes itself for.
-func (c *Core) checkLeadership() {
+// takes itself for; asked is when the mirror was, at the earliest, as it is now.
+func (c *Core) checkLeadership(asked int64) {
 	mine := c.synced && c.leaderAt != 0 && c.leader.Name == c.set.Name && c.leader.Boot == c.set.Boot
 	switch {
 	case c.lead != nil && (!mine || c.leaderAt != c.lead.stamp):
 		c.stepDown("another controller leads")
 	case c.lead == nil && mine && c.leader.Lease == c.elect.lease:
-		c.takeOver()
+		c.takeOver(asked)
 	}
 }
 
-func (c *Core) takeOver() {
-	c.lead = &leadership{token: c.leader.Token, stamp: c.leaderAt, since: c.now, proof: c.elect.leaseAt, stored: c.elect.leaseAt,
+func (c *Core) takeOver(known int64) {
+	c.lead = &leadership{token: c.leader.Token, stamp: c.leaderAt, since: c.now, stored: c.elect.leaseAt, mirrored: known,
+		words: vouch.NewWords(c.set.Peers, c.hold()), directs: map[string][]Order{},
 		fleet: fleet.NewSet(), roster: newRoster(), leaderState: newLeaderState(c.now)}
 	c.takeHints()
 	placed := 0
@@ -216,9 +224,18 @@
 // hold is how long reports are still answered without proof of the token.
 func (c *Core) hold() int64 { return c.set.Hold() }
 
+// byState is up to when the state service has proved the token and shown all that
+// is stored. A renewal proves the token alone: the mirror may lag behind it.
+func (l *leadership) byState() int64 { return min(l.stored, l.mirrored) }
+
+// rightAt is up to when nobody else led, and everything that users were told is
+// known here. The other controllers can vouch for both: a token is raised by a
+// take-over alone, and one that leads says so.
+func (l *leadership) rightAt() int64 { return max(l.byState(), l.words.Since()) }
+
 // entitled says whether reports may be answered, sure whether new attempts
 // may be started: the state service's own proof is younger than its lease.
-func (c *Core) entitled() bool { return c.lead != nil && c.now-c.lead.proof < c.hold() }
+func (c *Core) entitled() bool { return c.lead != nil && c.now-c.lead.rightAt() < c.hold() }
 
 func (c *Core) sure() bool {
 	return c.lead != nil && c.now-c.lead.stored < c.set.Ops.LeaderLease
@@ -226,6 +243,5 @@
 
 // proven notes that the state service proved the token to a request of then.
 func (c *Core) proven(sent int64) {
-	c.lead.proof = max(c.lead.proof, sent)
 	c.lead.stored = max(c.lead.stored, sent)
 }
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -108,7 +108,10 @@
 			return
 		}
 		c.endCancelledRuns()
-		c.checkLeadership()
+		if c.lead != nil {
+			c.lead.mirrored = max(c.lead.mirrored, m.Sent)
+		}
+		c.checkLeadership(m.Sent)
 	}
 	if !m.View && c.synced {
 		c.watch()
@@ -142,7 +145,7 @@
 			bad(err)
 			return
 		}
-		c.noteEnd(key[4:], e)
+		c.noteEnd(key[4:], e, ch.Stamp)
 		c.endStored(key[4:])
 	case key == "leader":
 		c.leader, c.leaderAt = leaderValue{}, 0
@@ -236,7 +239,7 @@
 	j.Stamp = ch.Stamp
 	if r.Over != "" && j.Over == "" {
 		j.Over = r.Over
-		c.noteEnd(id, ledger.End{Outcome: r.Over, Tasks: j.Tasks})
+		c.noteEnd(id, ledger.End{Outcome: r.Over, Tasks: j.Tasks}, ch.Stamp)
 		c.jobOver(j)
 	}
 	if r.Over != "" {
@@ -294,7 +297,13 @@
 	c.orphaned[id][v] = ch
 }
 
-func (c *Core) noteEnd(id string, e ledger.End) {
+// noteEnd notes how a job has ended, stored with a revision, or 0 if that is not
+// known. Whatever users are told of an end has passed here, so it is here that
+// this controller begins to vouch for a cancellation.
+func (c *Core) noteEnd(id string, e ledger.End, rev uint64) {
+	if e.Outcome == ledger.Cancelled && !c.sweepTells(id) {
+		c.witness.Note(id, rev)
+	}
 	if _, ok := c.ends[id]; ok {
 		return
 	}
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -28,6 +28,9 @@
 	Queues     []OpsQueue  `json:"queues,omitempty"`
 	Machines   OpsMachines `json:"machines"`
 	Jobs       int         `json:"unfinished_jobs"`
+	// AnswersForS is how long a leader may still answer workers without a newer
+	// proof, below 0 when that is over.
+	AnswersForS float64 `json:"answers_for_s,omitempty"`
 	// Awaiting counts those of them that wait for others to be done.
 	Awaiting int `json:"awaiting_jobs"`
 	// Format is the version of stored data, Lowered says that the limits to
@@ -213,6 +216,17 @@
 
 func (c *Core) opsLeader(v *OpsView) {
 	l := c.lead
+	v.AnswersForS = float64(l.rightAt()+c.hold()-c.now) / 1e6
+	if c.now-l.byState() > askAfter {
+		silent := l.words.Silent(c.now, askAfter)
+		for _, p := range inOrder(silent) {
+			since := "yet"
+			if silent[p] >= 0 {
+				since = fmt.Sprintf("for %d s", silent[p]/second)
+			}
+			v.Troubles = append(v.Troubles, "controller "+p+" has not vouched "+since+" for what it tells users: workers are answered for hold only")
+		}
+	}
 	v.CallsLeft = l.cloud.level
 	if l.cloud.failed > l.cloud.listed {
 		v.Troubles = append(v.Troubles, "the cloud does not answer")
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -2,10 +2,7 @@
 
 import (
 	"errors"
-	"strings"
 
-	"github.com/zinclb/zinclb/internal/config"
-	"github.com/zinclb/zinclb/internal/core/ledger"
 	"github.com/zinclb/zinclb/internal/core/reach"
 )
 
@@ -16,32 +13,14 @@
 	token   uint64
 }
 
-// toldCancel is a cancellation that a user was told of here.
-type toldCancel struct {
-	id string
-	at int64
-}
-
-// maxTold bounds the cancellations told to peers in one answer.
-const maxTold = 500
-
 // peerUp says whether a peer has answered of late.
 func (c *Core) peerUp(p string) bool { return c.links.PeerUp(p, c.now) }
 
 func (c *Core) onPinged(m Pinged) {
 	c.links.Called(m.From, c.now)
 	c.noteNewest(c.leader)
-	keep := c.told[:0]
-	for _, t := range c.told {
-		if c.now-t.at < 2*config.Secs(c.set.Workers.CancelS) {
-			keep = append(keep, t)
-		}
-	}
-	c.told = keep
 	n := &PeerNews{Token: c.newest.Token, Leader: c.newest.Name, StateAge: c.stateAge(), Version: c.formatOf(), Features: c.latch.Features(), Lowered: c.lowered}
-	for _, t := range c.told {
-		n.Cancelled = append(n.Cancelled, t.id)
-	}
+	c.vouchFor(m, n)
 	if c.set.Ops.Reach {
 		v := c.links.Own(c.now)
 		n.Reach = &v
@@ -52,15 +31,6 @@
 	c.emit(Reply{Req: m.Req, Status: 200, News: n})
 }
 
-// noteCancelled remembers what a user was told, for peers that a watch may
-// not tell.
-func (c *Core) noteCancelled(id string) {
-	c.told = append(c.told, toldCancel{id, c.now})
-	if len(c.told) > maxTold {
-		c.told = c.told[1:]
-	}
-}
-
 func (c *Core) noteNewest(v leaderValue) {
 	if v.Token > c.newest.Token {
 		c.newest = v
@@ -86,6 +56,8 @@
 	}
 	v.stateOK = m.Sent - m.News.StateAge
 	c.peers[m.Peer] = v
+	c.witness.Answered(m.Peer, m.Sent, m.News.Ack)
+	c.tellNow()
 	c.noteNewest(leaderValue{Name: m.News.Leader, Token: m.News.Token})
 	if c.lead == nil {
 		return
@@ -96,34 +68,7 @@
 		c.stepDown("a peer knows of a newer leader")
 		return
 	}
-	for _, id := range m.News.Cancelled {
-		if sweep, ok := strings.CutPrefix(id, toldSweep); ok {
-			c.sweepTold(sweep)
-			continue
-		}
-		if j := c.jobs[id]; j != nil && j.Over == "" {
-			c.noteEnd(id, ledger.End{Outcome: ledger.Cancelled, Tasks: j.Tasks})
-		}
-	}
-	c.proveByPeers()
-}
-
-// proveByPeers takes a round in which every other controller has said that it
-// knows no newer token as proof of the token: nobody has begun to lead before
-// the oldest of the questions was sent. One that has yet to learn that it
-// leads begins later, and counts the time for silent machines from then.
-func (c *Core) proveByPeers() {
-	oldest := c.now
-	for _, p := range c.set.Peers {
-		v := c.peers[p]
-		if v.at == 0 || v.token > c.lead.token {
-			return
-		}
-		oldest = min(oldest, v.at)
-	}
-	if len(c.set.Peers) > 0 {
-		c.lead.proof = max(c.lead.proof, oldest)
-	}
+	c.heardOut(m)
 }
 
 // Refusal is an error by which the other side has answered.
@@ -146,6 +91,7 @@
 	} else {
 		c.stateBad = c.now
 		side.Failed(c.now, c.now, faultOf(err))
+		c.askAll()
 	}
 }
 
@@ -161,11 +107,13 @@
 	case 0:
 		c.stateBad = c.now
 		w.Failed(c.now, c.now, reach.Silent)
+		c.askAll()
 	default:
 		c.stateBad = c.now
 		if m.Status == 503 {
 			w.Failed(c.now, c.now, reach.Refused)
 		}
+		c.askAll()
 	}
 }
 
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -500,6 +500,7 @@
 		l.planWanted = true // estimated ends move with time
 	}
 	l.unparkWanted = true // the time of some may be up
+	c.knowTick()
 	c.boundsTick()
 	if c.now-l.sweptAt >= second/4 {
 		// What goes through all machines, and can wait.
--- a/internal/core/plan_test.go
+++ b/internal/core/plan_test.go
@@ -93,7 +93,7 @@
 			m.Heard = r.now
 			m.Touch()
 			r.c.now = r.now
-			r.c.lead.proof, r.c.lead.stored = r.now, r.now
+			r.c.lead.mirrored, r.c.lead.stored = r.now, r.now
 			r.c.plan()
 			if got := j.Task(0); got.Stop != tc.stop || tc.stop != "" && got.Grace < 4*second {
 				t.Errorf("stop %q with %d s", got.Stop, got.Grace/second)
--- a/internal/core/proof_test.go
+++ b/internal/core/proof_test.go
@@ -9,6 +9,7 @@
 	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/core/vouch"
 )
 
 // rig is a core that leads alone, with its state service played by hand.
@@ -85,7 +86,11 @@
 					news = append(news, Change{Key: w.Key, Value: w.Value, Stamp: r.rev})
 				}
 			}
-			r.step(Watched{After: r.rev - 1, Ledger: r.rev, Changes: news})
+			r.step(Watched{After: r.rev - 1, Ledger: r.rev, Sent: r.now, Changes: news})
+		case View:
+			if !r.mute {
+				r.step(Watched{After: e.After, Ledger: e.After, Sent: r.now, View: true, Asked: e.Asked})
+			}
 		}
 	}
 }
@@ -209,7 +214,7 @@
 	r := newRig(t)
 	r.beat(5, 1, running(3))
 	r.mute = true
-	start := r.c.lead.proof
+	start := r.c.lead.rightAt()
 	for r.now-start < r.c.hold()-second {
 		if s, _ := r.beat(r.token, 1, running(3)); s != 200 {
 			t.Fatalf("status %d after %d ms of hold", s, (r.now-start)/1000)
@@ -228,18 +233,26 @@
 	}
 }
 
-// TestNewerToken: a peer that knows a newer token ends a leadership at once.
+// TestNewerToken: a peer that knows a newer token ends a leadership at once; one
+// that knows none, and has told all that it vouches for, is proof of the right.
 func TestNewerToken(t *testing.T) {
 	r := newRig(t)
 	r.c.set.Peers = []string{"n1"}
+	r.c.lead.words = vouch.NewWords(r.c.set.Peers, r.c.hold())
+	r.mute = true
+	r.tick(5 * second)
+	right := r.c.lead.rightAt()
 	r.step(PeerSeen{Peer: "n1", Sent: r.now, OK: true, News: PeerNews{Token: r.token, Leader: "n0"}})
-	if r.c.lead == nil || r.c.lead.proof != r.now {
-		t.Error("a round of peers that know no newer token is proof")
+	if r.c.lead == nil || r.c.lead.rightAt() != right {
+		t.Error("a peer of an older program vouches for nothing")
 	}
-	r.step(PeerSeen{Peer: "n1", Sent: r.now + 1, OK: true, News: PeerNews{Token: r.token, Leader: "n0", Cancelled: []string{"j"}}})
+	r.step(PeerSeen{Peer: "n1", Sent: r.now + 1, OK: true, News: PeerNews{Token: r.token, Leader: "n0", Vouch: &vouch.Page{Boot: "x", Upto: 1, Whole: true, Cancelled: []string{"j"}}}})
 	if r.c.jobs["j"].Over != ledger.Cancelled {
 		t.Error("a cancellation told by a peer counts")
 	}
+	if r.c.lead.rightAt() != r.now+1 {
+		t.Errorf("right from %d, asked at %d", r.c.lead.rightAt(), r.now+1)
+	}
 	r.step(PeerSeen{Peer: "n1", Sent: r.now + 2, OK: true, News: PeerNews{Token: r.token + 1, Leader: "n1"}})
 	if r.c.lead != nil {
 		t.Error("still leads")
--- a/internal/core/reaching_test.go
+++ b/internal/core/reaching_test.go
@@ -22,6 +22,7 @@
 	// mute: the state service answers nothing.
 	mute    bool
 	touches int
+	hung    bool // the watch brings nothing
 }
 
 // newBetween has read the state, in which leader leads; it leads itself if that
@@ -74,11 +75,13 @@
 				continue
 			}
 			b.rev++
-			w := Watched{After: b.rev - 1, Ledger: b.rev}
+			w := Watched{After: b.rev - 1, Ledger: b.rev, Sent: b.now}
 			for _, x := range e.Writes {
 				w.Changes = append(w.Changes, Change{Key: x.Key, Value: x.Value, Stamp: b.rev, Removed: x.Value == nil})
 			}
-			b.step(w)
+			if !b.hung {
+				b.step(w)
+			}
 			b.step(Committed{ID: e.ID, Status: 200, Ledger: b.rev})
 		case Ping, Probe:
 		default:
@@ -138,7 +141,8 @@
 // that the watch is held on breaks.
 func TestSilentWatch(t *testing.T) {
 	b := newBetween(t, "n0")
-	b.rev += 3 // others write, and nothing of it comes
+	b.c.lead.mirrored = b.now + 3600*second // what TestKnows has a leader read is not looked at here
+	b.rev += 3                              // others write, and nothing of it comes
 	id := b.c.id()
 	b.c.commit[id] = func(Committed) {}
 	b.step(Committed{ID: id, Status: 409, Ledger: b.rev})
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -97,7 +97,7 @@
 		case Touch:
 			w.late = append(w.late, Touched{Lease: e.Lease, Sent: w.now})
 		case View:
-			w.late = append(w.late, Watched{After: e.After, Ledger: w.rev, View: true, Asked: e.Asked})
+			w.late = append(w.late, Watched{After: e.After, Ledger: e.After, Sent: w.now, View: true, Asked: e.Asked})
 		case Multi:
 			w.rev++
 			var news []Change
@@ -108,7 +108,7 @@
 					news = append(news, Change{Key: x.Key, Value: x.Value, Stamp: w.rev})
 				}
 			}
-			w.late = append(w.late, Committed{ID: e.ID, Status: 200, Ledger: w.rev}, Watched{After: w.rev - 1, Ledger: w.rev, Changes: news})
+			w.late = append(w.late, Committed{ID: e.ID, Status: 200, Ledger: w.rev}, Watched{After: w.rev - 1, Ledger: w.rev, Sent: w.now, Changes: news})
 		case Rent:
 			w.late = append(w.late, Rented{Rent: e, Status: 503})
 		case ListMachines:
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -246,7 +246,7 @@
 	case kind == "sweepend":
 		var e sweepEnd
 		if read(&e) {
-			c.noteSweepEnd(id, e.Outcome)
+			c.noteSweepEnd(id, e.Outcome, ch.Stamp)
 		}
 	}
 }
@@ -275,8 +275,11 @@
 }
 
 // noteSweepEnd notes how a sweep has ended.
-func (c *Core) noteSweepEnd(id, outcome string) {
+func (c *Core) noteSweepEnd(id, outcome string, rev uint64) {
 	s := c.sweep(id)
+	if outcome == ledger.Cancelled {
+		c.witness.Note(toldSweep+id, rev)
+	}
 	if s.outcome == "" {
 		s.outcome = outcome
 		c.endRuns = c.endRuns || outcome == ledger.Cancelled
@@ -445,6 +448,8 @@
 		c.sweepRuns(s, a)
 	case a.kind == askSweepCancel && s.outcome == "":
 		c.write(a)
+	case s.outcome == ledger.Cancelled:
+		c.tell(Reply{Req: a.req, Status: 200, Sweep: s.state()}, toldSweep+s.id)
 	default:
 		c.emit(Reply{Req: a.req, Status: 200, Sweep: s.state()})
 	}
@@ -496,7 +501,7 @@
 	c.multi([]Cond{{key, 0}}, []Write{{Key: key, Value: encode(sweepEnd{ledger.Cancelled, c.now + c.wallOffset})}}, func(m Committed) {
 		switch m.Status {
 		case 200:
-			c.noteCancelled(toldSweep + a.id)
+			c.witness.Note(toldSweep+a.id, m.Ledger)
 			c.sweepTold(a.id)
 			c.wait(a) // what was done before is told from a view
 		case 409:
@@ -599,10 +604,24 @@
 	for i := a.after; i < len(s.plan.Specs) && len(page.Runs) < min(max(a.most, 1), maxPage); i++ {
 		page.Runs = append(page.Runs, SweepRun{Number: i, ID: s.plan.Specs[i].ID, State: c.runState(s, i), Values: s.plan.Values[i], Sets: s.plan.Sets[i]})
 	}
+	var gone []string
+	for _, r := range page.Runs {
+		if r.State == ledger.Cancelled {
+			gone = append(gone, r.ID)
+		}
+	}
+	if s.outcome == ledger.Cancelled && len(gone) > 0 {
+		gone = []string{toldSweep + s.id}
+	}
 	if n := a.after + len(page.Runs); n < len(s.plan.Specs) {
 		page.Next = n
 	}
-	c.emit(Reply{Req: a.req, Status: 200, Runs: page})
+	r := Reply{Req: a.req, Status: 200, Runs: page}
+	if len(gone) > 0 {
+		c.tell(r, gone...)
+		return
+	}
+	c.emit(r)
 }
 
 func (c *Core) runState(s *sweep, i int) string {
@@ -675,7 +694,7 @@
 				var e ledger.End
 				if g.Err == nil && g.Stamp != 0 && json.Unmarshal(g.Value, &e) == nil {
 					delete(c.asking, id)
-					c.noteEnd(id, e)
+					c.noteEnd(id, e, g.Stamp)
 				}
 			})
 		}
@@ -746,7 +765,7 @@
 				s.counted = 0
 			}
 			if at.Closed {
-				c.noteSweepEnd(s.id, ledger.Done) // unless it was cancelled
+				c.noteSweepEnd(s.id, ledger.Done, 0) // unless it was cancelled
 				c.closeSweep(s)
 			}
 		case 409:
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -265,7 +265,7 @@
 			c.log.Error("stored end can't be read", "job", a.id)
 			c.refuse(a)
 		default:
-			c.noteEnd(a.id, e)
+			c.noteEnd(a.id, e, g.Stamp)
 			c.answerEnd(a.req, a.id, e)
 		}
 	})
@@ -369,8 +369,7 @@
 			if j.Stamp == stamp {
 				j.Stamp = m.Ledger
 			}
-			c.noteCancelled(a.id)
-			c.noteEnd(a.id, e)
+			c.noteEnd(a.id, e, m.Ledger)
 			c.answerEnd(a.req, a.id, e)
 		case 409:
 			c.overtaken(a)
@@ -409,7 +408,12 @@
 	if e.Outcome == ledger.Done {
 		s.Done = e.Tasks
 	}
-	c.emit(Reply{Req: req, Status: 200, Job: s})
+	r := Reply{Req: req, Status: 200, Job: s}
+	if e.Outcome == ledger.Cancelled {
+		c.tell(r, id)
+		return
+	}
+	c.emit(r)
 }
 
 func jobState(j *ledger.Job) *JobState {
--- /dev/null
+++ b/internal/core/vouching_test.go
@@ -0,0 +1,91 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/core/vouch"
+)
+
+// TestKnows: a renewal of its lease is no proof for a leader that it knows what
+// users were told. It reads what is stored where its watch does not bring it, and
+// answers nobody once hold has passed without.
+func TestKnows(t *testing.T) {
+	b := newBetween(t, "n0")
+	b.hung = true
+	right := b.c.lead.rightAt()
+	b.run(3 * second)
+	if v := find[View](b); len(v) < 2 || v[0].Asked {
+		t.Errorf("a leader without changes reads what is stored: %+v", v)
+	}
+	if at := b.c.lead.stored; at <= right {
+		t.Fatal("the lease was not renewed")
+	}
+	if at := b.c.lead.rightAt(); at != right {
+		t.Errorf("renewals moved the right from %d to %d", right, at)
+	}
+	b.step(Watched{After: b.c.applied, Ledger: b.c.applied, Sent: b.now - second/2, View: true})
+	if at := b.c.lead.rightAt(); at != b.now-second/2 {
+		t.Errorf("right from %d, the mirror is of %d", at, b.now-second/2)
+	}
+	b.run(b.c.hold() + second)
+	if b.c.entitled() {
+		t.Error("answers without knowing what users were told")
+	}
+}
+
+// TestTell follows a cancellation that a controller knows of while a leader lives
+// on its word: the leader is told before the user is, by whichever request.
+func TestTell(t *testing.T) {
+	s := newShelf(t, map[string]any{jobPrefix + "a": job("a"), jobPrefix + "c": job("c")})
+	s.c.set.Peers = []string{"n1"}
+	s.c.witness = vouch.NewWitness("b", s.c.set.Peers, s.c.hold(), s.now)
+	// ask sends a request and gives what there is of an answer after a while.
+	ask := func(build func(req uint64) any) (uint64, Reply) {
+		s.req++
+		s.step(build(s.req))
+		s.run(second / 2)
+		return s.req, s.got[s.req]
+	}
+	cancel := func(id string) func(uint64) any {
+		return func(req uint64) any { return Cancel{Req: req, ID: id} }
+	}
+	poll := func(req uint64) any { return Status{Req: req, ID: "a"} }
+	ack := func(a *vouch.Ack) {
+		s.step(PeerSeen{Peer: "n1", Sent: s.now, OK: true, News: PeerNews{Ack: a}})
+	}
+	s.run(second)
+	ack(&vouch.Ack{})
+	s.step(Pinged{Req: 900, From: "n1", Boot: "x", Ask: &vouch.Question{}})
+	if p := s.got[900].News.Vouch; p == nil || !p.Whole || len(p.Cancelled) != 0 {
+		t.Fatalf("vouched %+v", p)
+	}
+	// Its own write, another user's poll, and a repeated submission.
+	for _, build := range []func(uint64) any{cancel("a"), poll, func(req uint64) any { return Submit{Req: req, Spec: job("a").Spec} }} {
+		n, r := ask(build)
+		if s.keys[endPrefix+"a"].Stamp == 0 {
+			t.Fatal("the cancellation was not stored")
+		}
+		if r.Status != 0 {
+			t.Errorf("%T answered %d before the leader knew", build(0), r.Status)
+		}
+		s.run(tellPatience)
+		if r := s.got[n]; r.Status != 503 || r.Retry != 1 {
+			t.Errorf("%T answered %+v in the end", build(0), r)
+		}
+	}
+	n, _ := ask(poll)
+	ack(&vouch.Ack{Holds: true, Boot: "b", Upto: 1})
+	if r := s.got[n]; r.Status != 200 || r.Job.State != ledger.Cancelled {
+		t.Errorf("once the leader knows: %+v", r)
+	}
+	// Of the next one it never learns: the answer waits until its right has run
+	// out, and no longer.
+	if _, r := ask(cancel("c")); r.Status != 0 {
+		t.Errorf("answered %d", r.Status)
+	}
+	s.run(s.c.hold() + 2*second)
+	if _, r := ask(cancel("c")); r.Status != 200 {
+		t.Errorf("nobody can live on its word any more: %+v", r)
+	}
+}
--- a/internal/emulator/fake/fake.go
+++ b/internal/emulator/fake/fake.go
@@ -33,6 +33,9 @@
 	Missing bool
 	// Programs, if set, is what a controller runs from its epoch-th start on.
 	Programs func(node, epoch int) upgrade.Program
+	// Plain, if set, says which controllers run a program from before they
+	// vouched for what they tell users.
+	Plain func(node string) bool
 	// Begin, if set, is called before anything happens.
 	Begin func(*Cluster)
 	// Seen, if set, is called with each event as it happens.
@@ -257,6 +260,10 @@
 	}
 }
 
+// plain says whether it runs a program from before controllers vouched: it does
+// not read what that takes, and does not say it.
+func (n *Node) plain() bool { return n.c.Plain != nil && n.c.Plain(n.name) }
+
 func (n *Node) step(msg any) {
 	for _, e := range n.core.Step(n.c.now+1, msg) {
 		n.carryOut(e)
@@ -301,6 +308,10 @@
 		return
 	}
 	n.run(n.epoch, func() {
+		if q, ok := a.Request.(pinged); ok && n.plain() {
+			q.Boot, q.Ask, q.Tell = "", nil, nil
+			a.Request = q
+		}
 		build, bad := message(a.Request)
 		if bad != nil {
 			n.c.step(world.Told{ID: a.ID, Status: bad.Status, Retry: bad.Retry})
--- a/internal/emulator/fake/node.go
+++ b/internal/emulator/fake/node.go
@@ -53,7 +53,7 @@
 // pinged is a ping between controllers.
 type pinged struct {
 	from string
-	need bool
+	core.Ping
 }
 
 // message turns what reaches a controller into a message to its core, or into
@@ -90,7 +90,9 @@
 	case wire.Ready:
 		return func(req uint64) any { return core.Ready{Req: req} }, nil
 	case pinged:
-		return func(req uint64) any { return core.Pinged{Req: req, From: q.from, Need: q.need} }, nil
+		return func(req uint64) any {
+			return core.Pinged{Req: req, From: q.from, Need: q.Need, Boot: q.Boot, Ask: q.Ask, Tell: q.Tell}
+		}, nil
 	case core.Beat: // relayed
 		return func(req uint64) any { q.Req = req; return q }, nil
 	case core.Submit: // the others are handed on
@@ -174,9 +176,9 @@
 	case core.List:
 		n.list(&core.Listed{}, 0, "")
 	case core.Watch:
-		n.watch(e.After, watchWait, watchMost, core.Watched{})
+		n.watch(e.After, watchWait, watchMost, core.Watched{Sent: sent})
 	case core.View:
-		n.watch(e.After, 0, watchMost-watchWait, core.Watched{View: true, Asked: e.Asked})
+		n.watch(e.After, 0, watchMost-watchWait, core.Watched{Sent: sent, View: true, Asked: e.Asked})
 	case core.Multi:
 		n.call(world.StateHost, multi(e), commitMost, func(status int, body any) {
 			a, _ := body.(wire.MultiAnswer)
@@ -218,10 +220,16 @@
 			n.step(core.Forwarded{Req: e.Req, Answer: r, Err: err})
 		})
 	case core.Ping:
-		n.call(e.Peer, pinged{n.name, e.Need}, pingMost, func(status int, body any) {
+		if n.plain() {
+			e.Boot, e.Ask, e.Tell = "", nil, nil
+		}
+		n.call(e.Peer, pinged{n.name, e}, pingMost, func(status int, body any) {
 			s := core.PeerSeen{Peer: e.Peer, Sent: sent}
 			if r, err := reply(body); err == nil && r.News != nil {
 				s.OK, s.News = true, *r.News
+				if n.plain() {
+					s.News.Vouch, s.News.Ack = nil, nil
+				}
 			}
 			n.step(s)
 		})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,7 +203,9 @@
 
 // Pinged asks the core what to tell a peer.
 func (n *Node) Pinged(a peer.PingArgs) (core.Reply, error) {
-	return n.askWait(func(req uint64) any { return core.Pinged{Req: req, From: a.From, Need: a.Need} }, time.Second)
+	return n.askWait(func(req uint64) any {
+		return core.Pinged{Req: req, From: a.From, Need: a.Need, Boot: a.Boot, Ask: a.Ask, Tell: a.Tell}
+	}, time.Second)
 }
 
 // Ask hands a user's request from a peer to the core.
@@ -269,11 +271,12 @@
 		case core.List:
 			go n.list()
 		case core.Watch:
-			go n.watch(e)
+			go n.watch(e, n.now())
 		case core.View:
+			sent := n.now()
 			go func() {
 				w := n.state.Watch(core.Prefix, e.After, 0)
-				w.View, w.Asked = true, e.Asked
+				w.Sent, w.View, w.Asked = sent, true, e.Asked
 				n.tell(w)
 			}()
 		case core.Multi:
@@ -309,7 +312,7 @@
 			sent := n.now()
 			go func() {
 				var r peer.PingReply
-				err := n.peers[e.Peer].Call("Ping", peer.PingArgs{From: n.platform.Name, Need: e.Need}, &r, time.Second)
+				err := n.peers[e.Peer].Call("Ping", peer.PingArgs{From: n.platform.Name, Need: e.Need, Boot: e.Boot, Ask: e.Ask, Tell: e.Tell}, &r, time.Second)
 				n.tell(core.PeerSeen{Peer: e.Peer, Sent: sent, OK: err == nil && r.Name == e.Peer, News: r.News})
 			}()
 		case core.Probe:
@@ -441,8 +444,9 @@
 	n.tell(out)
 }
 
-func (n *Node) watch(e core.Watch) {
+func (n *Node) watch(e core.Watch, sent int64) {
 	w := n.watches.Watch(core.Prefix, e.After, 10*time.Second)
+	w.Sent = sent
 	if w.Err != nil {
 		time.Sleep(300 * time.Millisecond)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/core/vouch"
 )
 
 // BeatArgs is a worker's report on its way to the leader.
@@ -21,10 +22,14 @@
 }
 
 // PingArgs asks whether a controller is there. Need: the sender knows too few
-// machines; missing it is false.
+// machines; missing it is false. Boot is the sender's start, missing for an older
+// program, Ask what it wants vouched for, Tell what it knows to be cancelled.
 type PingArgs struct {
 	From string
 	Need bool
+	Boot string
+	Ask  *vouch.Question
+	Tell *vouch.Page
 }
 
 // PingReply says that it is, and what it knows.
