Bounds, hints and types are written only over what they follow; meetings in the emulator

Cause: these three were conditional on the leadership alone, so one that got no answer and was executed seconds later put older content over newer; holders of partitions then went by old bounds for a term. Change: each is conditional on its own key's version (leaderPuts). The emulator learns late_writes and late_leases (no answer, executed 2 to 12 s later) and arrays whose tasks end far apart, and troubles has eleven meetings more, alone and in pairs: late writes and renewals, refusals and then an outage, a slow state service, machines that stand still, leaders that end while machines can't be reached or are deaf, hand-over and back, all end and one is back at once.

--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -77,6 +77,17 @@
 	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), lot: newLot(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}, gone: departed{last: map[string]departure{}}, sizes: sizes{}}
 }
 
+// leaderPuts writes a value as a whole, if nothing newer is stored: one of its own
+// that got no answer may be executed after later ones.
+func (c *Core) leaderPuts(key string, value []byte, done func(Committed)) {
+	c.multi([]Cond{{leaderKey, c.lead.stamp}, {key, c.stamps[key]}}, []Write{{Key: key, Value: value}}, func(m Committed) {
+		if m.Status == 200 {
+			c.stamps[key] = max(c.stamps[key], m.Ledger)
+		}
+		done(m)
+	})
+}
+
 // commitGap is the least time between transactions, to gather changes.
 const (
 	commitGap = 60_000
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -433,15 +433,17 @@
 	typesWhole uint64
 	bounds     fleet.Bounds
 	boundsOn   int64 // when the bounds were read
-	leader     leaderValue
-	leaderAt   uint64
-	token      tokenValue
-	tokenAt    uint64
-	watching   bool
-	hints      map[string][]byte
-	format     formatValue
-	formatAt   uint64
-	latch      *upgrade.Latch
+	// stamps are the versions of what a leader writes as a whole: see leaderPuts.
+	stamps   map[string]uint64
+	leader   leaderValue
+	leaderAt uint64
+	token    tokenValue
+	tokenAt  uint64
+	watching bool
+	hints    map[string][]byte
+	format   formatValue
+	formatAt uint64
+	latch    *upgrade.Latch
 	// featuresAt and goneAt are versions of keys; unfit is why this program must
 	// not go on.
 	featuresAt uint64
@@ -500,7 +502,7 @@
 	c := &Core{set: set, now: now, rng: rng, log: log, jobs: map[string]*ledger.Job{},
 		orphaned: map[string]map[ledger.Value]Change{}, ends: map[string]ledger.End{}, hints: map[string][]byte{},
 		peers: map[string]peerView{}, seen: map[string]redirect{}, span: ledger.ChunkTasks, graph: ledger.NewGraph(), recall: newRecall(), asking: map[string]int64{}, sweeps: map[string]*sweep{}, latch: newLatch(&set), goneAt: map[string]uint64{},
-		commit: map[uint64]func(Committed){}, gets: map[uint64]func(Got){}, reachAt: map[string]uint64{},
+		commit: map[uint64]func(Committed){}, gets: map[uint64]func(Got){}, reachAt: map[string]uint64{}, stamps: map[string]uint64{},
 		links: reach.New(set.Name, set.Boot, set.Peers, set.Zones, config.Secs(set.Workers.ReportS))}
 	c.frugal = set.Frugal(&c.set.Ops)
 	c.witness = vouch.NewWitness(set.Boot, set.Peers, set.Hold(), now)
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -57,7 +57,7 @@
 		return
 	}
 	c.budget.level--
-	c.multi([]Cond{{leaderKey, l.stamp}}, []Write{{Key: key, Value: value}}, func(m Committed) {
+	c.leaderPuts(key, value, func(m Committed) {
 		if c.lead == l && m.Status == 200 {
 			l.hints[key] = value
 		}
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -52,6 +52,7 @@
 	c.latch.Restart()
 	c.featuresAt, c.goneAt = 0, map[string]uint64{}
 	c.reachAt = map[string]uint64{}
+	c.stamps = map[string]uint64{}
 	c.links.Restart()
 	c.pages = nil
 	c.dropSweeps()
@@ -128,6 +129,12 @@
 	if !ok {
 		return
 	}
+	if key == "bounds" || key == "types" || strings.HasPrefix(key, "types/") || strings.HasPrefix(key, "hints/") {
+		c.stamps[ch.Key] = ch.Stamp
+		if ch.Removed {
+			delete(c.stamps, ch.Key)
+		}
+	}
 	bad := func(err error) {
 		c.log.Error("stored value can't be read", "key", ch.Key, "err", err)
 	}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -600,7 +600,7 @@
 	// The leader plans by the new cuts at once: a loan or a moved boundary
 	// is bookkeeping and moves no worker's task.
 	c.bounds = b
-	c.multi([]Cond{{leaderKey, l.stamp}}, []Write{{Key: boundsKey, Value: encode(b)}}, func(m Committed) {
+	c.leaderPuts(boundsKey, encode(b), func(m Committed) {
 		if c.lead != l {
 			return
 		}
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -116,7 +116,7 @@
 		}
 	}
 	for _, w := range writes {
-		c.multi([]Cond{{leaderKey, c.lead.stamp}}, []Write{w}, func(r Committed) {
+		c.leaderPuts(w.Key, w.Value, func(r Committed) {
 			if r.Status == 200 {
 				c.typesAt = r.Ledger
 			} else {
--- a/internal/emulator/gaps/gaps.go
+++ b/internal/emulator/gaps/gaps.go
@@ -63,7 +63,8 @@
 		return []world.Fault{{Kind: "crash", Hosts: n[1:2], For: 200_000}}
 	}, false},
 	{"another crashes late, and once more", 14 * second, func(n []string) []world.Fault {
-		return []world.Fault{{Kind: "crash", Hosts: n[2:3]}, {At: 6 * second, Kind: "crash", Hosts: n[2:3], For: 200_000}}
+		last := n[len(n)-1:]
+		return []world.Fault{{Kind: "crash", Hosts: last}, {At: 6 * second, Kind: "crash", Hosts: last, For: 200_000}}
 	}, false},
 	{"all others are back at once, as the outage begins", 20_000, func(n []string) []world.Fault {
 		return []world.Fault{{Kind: "crash", Hosts: n[1:], For: 200_000}}
--- a/internal/emulator/history/history.go
+++ b/internal/emulator/history/history.go
@@ -32,6 +32,9 @@
 	// Fault is a fault that begins or ends, Node a controller's start or end.
 	Fault Kind = "fault"
 	Node  Kind = "node"
+	// Late is a request to the state service that gets no answer and is executed
+	// after newer ones.
+	Late Kind = "late"
 	// Paid is what a machine has cost when it is gone or at the end.
 	Paid Kind = "paid"
 )
--- a/internal/emulator/troubles/troubles.go
+++ b/internal/emulator/troubles/troubles.go
@@ -71,6 +71,49 @@
 	{"the leader is back at once", func(n []string) []world.Fault { return again(1, n[0]) }},
 	{"the leader is back at once, five times", func(n []string) []world.Fault { return again(5, n[0]) }},
 	{"two are back at once, twice", func(n []string) []world.Fault { return again(2, n[0], n[1]) }},
+	{"writes are executed late", func([]string) []world.Fault {
+		return []world.Fault{{Kind: "late_writes", Share: 0.3, For: lasts}}
+	}},
+	{"renewals and dropped leases are executed late", func([]string) []world.Fault {
+		return []world.Fault{{Kind: "late_leases", Share: 0.3, For: lasts}, {Kind: "late_writes", Share: 0.1, For: lasts}}
+	}},
+	{"the leader is refused, and then all", func(n []string) []world.Fault {
+		return []world.Fault{{Kind: "state_refuse", Hosts: n[:1], For: 6 * second}, {At: 2 * second, Kind: "state_outage", For: 20 * second}}
+	}},
+	{"the state service is slow", func([]string) []world.Fault {
+		return []world.Fault{{Kind: "state_slow", Factor: 100, For: lasts}}
+	}},
+	{"a third of the machines stands still, again and again", func([]string) (l []world.Fault) {
+		for i := range int64(5) {
+			l = append(l, world.Fault{At: i * 7 * second, Kind: "machine_hang", Share: 0.34, For: 4*second + i*second/2})
+		}
+		return l
+	}},
+	{"a third of the machines can't be reached, and the leader ends", func(n []string) []world.Fault {
+		return []world.Fault{{Kind: "machine_silent", Share: 0.34, For: 12 * second}, {At: second, Kind: "crash", Hosts: n[:1]},
+			{At: 24 * second, Kind: "machine_silent", Share: 0.34, For: 12 * second}, {At: 25 * second, Kind: "crash", Hosts: n[:2]}}
+	}},
+	{"a third of the machines is deaf, and the leader ends", func(n []string) []world.Fault {
+		return []world.Fault{{Kind: "machine_deaf", Share: 0.34, For: lasts}, {At: second, Kind: "crash", Hosts: n[:1]}}
+	}},
+	{"leading is handed over and back", func(n []string) (l []world.Fault) {
+		for i := range int64(4) {
+			l = append(l, world.Fault{At: i * 9 * second, Kind: "cut", Hosts: n[i%2 : i%2+1], For: 8 * second})
+		}
+		return l
+	}},
+	{"leading is handed over and back within seconds", func(n []string) (l []world.Fault) {
+		for i := range int64(8) {
+			l = append(l, world.Fault{At: i * 4 * second, Kind: "state_refuse", Hosts: n[i%2 : i%2+1], For: 3800 * second / 1000})
+		}
+		return l
+	}},
+	{"all end, and the first is back at once", func(n []string) []world.Fault {
+		return []world.Fault{{Kind: "crash", Hosts: n[:1], For: 300_000}, {Kind: "crash", Hosts: n[1:], For: 25 * second}}
+	}},
+	{"all end, and another is back at once", func(n []string) []world.Fault {
+		return []world.Fault{{Kind: "crash", Hosts: n[1:2], For: 50_000}, {Kind: "crash", Hosts: append(n[:1:1], n[2:]...), For: 25 * second}}
+	}},
 	{"all are back at once, five times", func([]string) []world.Fault { return again(5, "all") }},
 }
 
@@ -191,6 +234,8 @@
 		default:
 			first := fmt.Sprintf("stage-%02d", i)
 			add(first, "stage", "red", wire.Array, at, 2, 1, 4*second)
+			// Its tasks end far apart, and leaders change in between.
+			add(fmt.Sprintf("uneven-%02d", i), "uneven", "red", wire.Array, at+second, 2+pick%2, 1, 3*second).Apart = 6 * second
 			add(fmt.Sprintf("stage-%02d-b", i), "stage", "red", wire.Array, at, 2, 1, 4*second).Spec.Awaits = []string{first}
 		}
 	}
@@ -208,6 +253,8 @@
 	// Within is the share of the jobs submitted in the midst of the troubles
 	// that were done in time.
 	Within float64
+	// Late is how many requests to the state service were executed late.
+	Late int
 }
 
 // Short says what falls short of what there should be, "" if nothing does.
@@ -296,6 +343,11 @@
 	}
 	r.Left = cl.World.Unfinished()
 	r.Within = within(cl)
+	for _, e := range cl.History {
+		if e.Kind == history.Late {
+			r.Late++
+		}
+	}
 	return r
 }
 
--- a/internal/emulator/troubles/troubles_test.go
+++ b/internal/emulator/troubles/troubles_test.go
@@ -1,6 +1,7 @@
 package troubles
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/zinclb/zinclb/internal/config"
@@ -23,6 +24,9 @@
 			if s := r.Short(); s != "" {
 				t.Error(s)
 			}
+			if strings.Contains(c.String(), "executed late") && r.Late < 20 {
+				t.Errorf("%d requests were executed late", r.Late)
+			}
 		})
 	}
 }
--- a/internal/emulator/world/faults.go
+++ b/internal/emulator/world/faults.go
@@ -40,6 +40,8 @@
 	"state_slow":     "the state service takes Factor times as long",
 	"state_limits":   "the state service's limits fall to those announced",
 	"state_lose":     "a transaction is lost, or its answer",
+	"late_writes":    "Share of the transactions get no answer and are executed 2 to 12 s later",
+	"late_leases":    "the same of renewals, new leases and dropped ones",
 	"cloud_outage":   "the cloud's interface is down",
 	"cloud_refuse":   "the cloud has no machine to give",
 	"cloud_capacity": "the cloud has only Share of its capacity",
@@ -165,6 +167,12 @@
 			return nil, fmt.Errorf("lose.how: must be before, after or late")
 		}
 		return func() func() { w.state.losses = append(w.state.losses, f.Lose); return nil }, nil
+	case "late_writes", "late_leases":
+		v := &w.state.lateWrites
+		if f.Kind == "late_leases" {
+			v = &w.state.lateLeases
+		}
+		return func() func() { *v = f.Share; return func() { *v = 0 } }, nil
 	case "report_copies":
 		if f.Factor <= 0 {
 			return nil, fmt.Errorf("factor: must be positive")
--- a/internal/emulator/world/front.go
+++ b/internal/emulator/world/front.go
@@ -22,6 +22,7 @@
 	w        *World
 	spec     wire.Job
 	run      int64
+	apart    int64
 	last     bool
 	accepted bool
 	over     string
@@ -40,7 +41,7 @@
 	if w.jobs[id] != nil {
 		return fmt.Errorf("job %q is there twice", id)
 	}
-	u := &user{w: w, spec: j.Spec, run: j.Run, last: j.Last, done: map[int]bool{}, progress: map[int]int64{}, every: pollEvery}
+	u := &user{w: w, spec: j.Spec, run: j.Run, apart: j.Apart, last: j.Last, done: map[int]bool{}, progress: map[int]int64{}, every: pollEvery}
 	w.jobs[id] = u
 	if j.At >= 0 {
 		w.timers.Add(j.At, u.submit)
--- a/internal/emulator/world/state.go
+++ b/internal/emulator/world/state.go
@@ -43,6 +43,9 @@
 	waiting []*watch
 	// losses are the transactions whose fate is set.
 	losses []*Lose
+	// lateWrites and lateLeases are the shares of transactions, and of what is
+	// done with leases, that get no answer and are executed late.
+	lateWrites, lateLeases float64
 }
 
 type stored struct {
@@ -112,6 +115,10 @@
 	}
 	execute := func() { answer(s.execute(req)) }
 	lost, late := s.w.lost()
+	if s.tarries(req) {
+		lost, late = true, 2*second+s.w.rng.Int64N(10*second)
+		s.w.record(history.Event{Kind: history.Late})
+	}
 	if how := s.fate(req); how != nil {
 		if how.How == "before" {
 			return
@@ -132,6 +139,18 @@
 	execute()
 }
 
+// tarries says whether a request is to be executed late.
+func (s *state) tarries(req any) bool {
+	share := 0.0
+	switch req.(type) {
+	case wire.Multi:
+		share = s.lateWrites
+	case wire.NewLease, wire.Touch, wire.Drop:
+		share = s.lateLeases
+	}
+	return share > 0 && s.w.rng.Float64() < share
+}
+
 // fate is what a Lose has in store for a transaction.
 func (s *state) fate(req any) *Lose {
 	m, ok := req.(wire.Multi)
--- a/internal/emulator/world/task.go
+++ b/internal/emulator/world/task.go
@@ -84,7 +84,10 @@
 }
 
 // left is how long the rest of the work takes on this machine.
-func (t *task) left() int64 { return int64(float64(t.job.run-t.base) / t.m.speed) }
+func (t *task) left() int64 { return int64(float64(t.runs()-t.base) / t.m.speed) }
+
+// runs is how long it takes altogether.
+func (t *task) runs() int64 { return t.job.run + int64(t.index)*t.job.apart }
 
 func (t *task) planEnd() {
 	if t.job.spec.Kind != wire.Service && t.gang == nil {
@@ -100,7 +103,7 @@
 	if t.begun == 0 || t.paused {
 		return t.base
 	}
-	return min(t.base+int64(float64(t.m.w.now-t.begun)*t.m.speed), t.job.run)
+	return min(t.base+int64(float64(t.m.w.now-t.begun)*t.m.speed), t.runs())
 }
 
 func (t *task) bank() int64 {
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -61,10 +61,11 @@
 	Count      int
 }
 
-// Job is submitted at At; Run is how long its tasks really take. Cancel is when
-// its user cancels it, 0 for never.
+// Job is submitted at At; Run is how long its tasks really take, each of an array
+// Apart longer than the last. Cancel is when its user cancels it, 0 for never.
 type Job struct {
 	At, Run, Cancel int64
+	Apart           int64
 	Spec            wire.Job
 	// Last: it is submitted when the jobs that it awaits are over.
 	Last bool
