--- a/internal/core/await_test.go
+++ b/internal/core/await_test.go
@@ -514,7 +514,7 @@
 	for i := range 30 {
 		types = append(types, fleet.Type{Name: fmt.Sprintf("type-%02d", i), Cap: ledger.Vec{CPU: 1000}, Zones: []string{"a", "b"}})
 	}
-	s.step(Types{Types: types})
+	s.step(Types{Types: types, Token: s.c.lead.token})
 	s.run(second)
 	s.c = New(s.c.set, s.now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
 	s.list()
--- a/internal/core/cloudby.go
+++ b/internal/core/cloudby.go
@@ -60,20 +60,22 @@
 
 // Message is the answer to a call that a peer made, as the message that the call
 // has when it is made by the leader itself.
-func (a CloudAnswer) Message(call CloudCall, by string) any {
+func (a CloudAnswer) Message(call CloudCall, by string, token uint64) any {
 	var err error
 	if a.Status != 200 {
 		err = errSilent
 	}
 	switch {
 	case call.Types:
-		return Types{Types: a.Types, Err: err, By: by}
+		return Types{Types: a.Types, Err: err, By: by, Token: token}
 	case call.List:
-		return Machines{List: a.List, Err: err, By: by}
+		return Machines{List: a.List, Err: err, By: by, Token: token}
 	case call.Rent != nil:
-		return Rented{Rent: *call.Rent, Names: a.Names, Status: a.Status}
+		r := *call.Rent
+		r.Token = token
+		return Rented{Rent: r, Names: a.Names, Status: a.Status}
 	}
-	return Released{Names: call.Release, OK: a.Status == 200}
+	return Released{Names: call.Release, OK: a.Status == 200, Token: token}
 }
 
 // callCloud makes a call, itself or by a peer where only others reach the cloud.
@@ -88,18 +90,23 @@
 	}
 	switch {
 	case call.Types:
-		c.emit(GetTypes{})
+		c.emit(GetTypes{Token: c.lead.token})
 	case call.List:
-		c.emit(ListMachines{Gap: call.Gap})
+		c.emit(ListMachines{Gap: call.Gap, Token: c.lead.token})
 	case call.Rent != nil:
 		r := *call.Rent
-		r.Until = until
+		r.Until, r.Token = until, c.lead.token
 		c.emit(r)
 	default:
-		c.emit(Release{Names: call.Release, Until: until})
+		c.emit(Release{Names: call.Release, Until: until, Token: c.lead.token})
 	}
 }
 
+// ours says whether a call of the cloud was made under the present leadership. The
+// answer to one of an earlier term of this controller says nothing of the calls of
+// this one: another has led in between.
+func (c *Core) ours(token uint64) bool { return c.lead != nil && c.lead.token == token }
+
 func (c *Core) cloudBy() string {
 	if !c.set.Ops.Reach {
 		return ""
@@ -150,5 +157,5 @@
 	if err == nil && a.Status == 0 {
 		err = errors.New("the cloud was not reached")
 	}
-	return CloudTold{By: e.To, Err: err}, a.Message(e.Call, e.To)
+	return CloudTold{By: e.To, Err: err}, a.Message(e.Call, e.To, e.Token)
 }
--- a/internal/core/cloudby_test.go
+++ b/internal/core/cloudby_test.go
@@ -54,10 +54,10 @@
 	}
 	for _, tc := range cases {
 		b := newBetween(t, "n0")
-		b.step(Types{})
+		b.step(Types{Token: b.c.lead.token})
 		b.run(5 * second)
 		for range 3 {
-			b.step(Machines{Err: tc.err})
+			b.step(Machines{Err: tc.err, Token: b.c.lead.token})
 		}
 		for i, v := range tc.say {
 			b.peer([]string{"n1", "n2"}[i], v)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -204,17 +204,20 @@
 		Answer Reply
 		Err    error
 	}
-	// Types is the cloud's list of machine types.
+	// Types is the cloud's list of machine types. Token here and below is that of
+	// the leadership under which the call was made.
 	Types struct {
 		Types []fleet.Type
 		Err   error
 		By    string // the peer that asked, "" for this controller
+		Token uint64
 	}
 	// Machines is the cloud's list of machines.
 	Machines struct {
-		List []Listing
-		Err  error
-		By   string
+		List  []Listing
+		Err   error
+		By    string
+		Token uint64
 	}
 	// Rented answers Rent.
 	Rented struct {
@@ -226,6 +229,7 @@
 	Released struct {
 		Names []string
 		OK    bool
+		Token uint64
 	}
 )
 
@@ -367,11 +371,12 @@
 		Orders         []Order
 	}
 	// GetTypes and ListMachines ask the cloud.
-	GetTypes struct{}
+	GetTypes struct{ Token uint64 }
 	// ListMachines is answered by Machines.
 	ListMachines struct {
 		// Gap is the time between two pages.
-		Gap int64
+		Gap   int64
+		Token uint64
 	}
 	// Rent asks for machines under a request name of its own.
 	Rent struct {
@@ -381,11 +386,13 @@
 		// Until is the time of the steady clock after which it must not go out:
 		// another controller may lead from then on.
 		Until int64
+		Token uint64
 	}
 	// Release returns machines, like Rent not after Until.
 	Release struct {
 		Names []string
 		Until int64
+		Token uint64
 	}
 )
 
--- a/internal/core/proof_test.go
+++ b/internal/core/proof_test.go
@@ -174,8 +174,10 @@
 				r.t.Errorf("orders %q", o)
 			}
 		}, "m.3"},
-		{"a release that was answered", func(r *rig) { r.step(Released{Names: []string{"m"}, OK: true}) }, ".3"},
-		{"a release without an answer", func(r *rig) { r.step(Released{Names: []string{"m"}}) }, "m.3"},
+		{"a release that was answered", func(r *rig) { r.step(Released{Names: []string{"m"}, OK: true, Token: r.token}) }, ".3"},
+		{"a release without an answer", func(r *rig) { r.step(Released{Names: []string{"m"}, Token: r.token}) }, "m.3"},
+		{"a release of an earlier term that was answered", func(r *rig) { r.step(Released{Names: []string{"m"}, OK: true, Token: r.token - 2}) }, ".3"},
+		{"a release of an earlier term without an answer", func(r *rig) { r.step(Released{Names: []string{"m"}, Token: r.token - 2}) }, "m.3"},
 		{"done is done, and the job with it", func(r *rig) {
 			r.beat(5, 1, TaskReport{Name: "j/0", Attempt: 3, State: "exited", Why: "done"})
 			r.tick(second)
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -86,7 +86,7 @@
 
 func (c *Core) onTypes(m Types) {
 	c.cloudEnded(m.By, m.Err)
-	if c.lead == nil {
+	if !c.ours(m.Token) {
 		return
 	}
 	c.lead.cloud.busy--
@@ -128,7 +128,7 @@
 
 func (c *Core) onMachines(m Machines) {
 	c.cloudEnded(m.By, m.Err)
-	if c.lead == nil {
+	if !c.ours(m.Token) {
 		return
 	}
 	s := &c.lead.cloud
@@ -310,10 +310,16 @@
 		return
 	}
 	s := &c.lead.cloud
-	s.busy--
+	ours := c.ours(m.Token)
+	if ours {
+		s.busy--
+	}
 	for _, name := range m.Names {
 		fm := c.lead.fleet.Get(name)
 		if !m.OK {
+			if !ours {
+				continue // since then another leader may have put work on it
+			}
 			// Not known: it may be executed late. Ask again until it is
 			// certain; nothing is placed there any more.
 			if !slices.Contains(s.release, name) {
@@ -458,8 +464,8 @@
 }
 
 func (c *Core) onRented(m Rented) {
-	if c.lead == nil {
-		return
+	if !c.ours(m.Rent.Token) {
+		return // what was rented shows in the list
 	}
 	s := &c.lead.cloud
 	s.busy--
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -112,7 +112,7 @@
 		case Rent:
 			w.late = append(w.late, Rented{Rent: e, Status: 503})
 		case ListMachines:
-			w.late = append(w.late, Machines{Err: fmt.Errorf("none")})
+			w.late = append(w.late, Machines{Err: fmt.Errorf("none"), Token: e.Token})
 		}
 	}
 }
@@ -325,7 +325,7 @@
 					w.c.wantRelease(h.name)
 				}
 			case 2:
-				w.step(Released{Names: []string{h.name}, OK: true})
+				w.step(Released{Names: []string{h.name}, OK: true, Token: w.c.lead.token})
 			case 3:
 				if m := w.c.lead.fleet.Get(h.name); m != nil && m.Fresh {
 					h.noticed = true
@@ -336,7 +336,7 @@
 				}
 			case 5:
 				w.c.types[0].Cap.CPU = 40000 + w.rng.Int64N(9)*1000
-				w.step(Types{Types: w.c.types})
+				w.step(Types{Types: w.c.types, Token: w.c.lead.token})
 			case 6:
 				w.c.bounds.Cuts = fleet.Cut([]uint32{w.rng.Uint32(), w.rng.Uint32(), w.rng.Uint32()}, queues)
 			case 7, 8, 9:
--- a/internal/emulator/fake/fake.go
+++ b/internal/emulator/fake/fake.go
@@ -40,6 +40,8 @@
 	Begin func(*Cluster)
 	// Seen, if set, is called with each event as it happens.
 	Seen func(history.Event)
+	// Writes, if set, is called with each transaction that a controller sends.
+	Writes func(core.Multi)
 	// Progress, if set, is called every simulated minute.
 	Progress func(now int64)
 	Log      *slog.Logger
--- a/internal/emulator/fake/lose_test.go
+++ b/internal/emulator/fake/lose_test.go
@@ -20,7 +20,7 @@
 var kinds = []string{"job/", "run/", "end/", "leader", "token", "types", "bounds", "hints", "format", "member/", "log/", "reach/", "features"}
 
 // TestEveryWriteLost loses a write of each kind during a take-over: before it is
-// executed, its answer alone, and with the write executed a minute late. The
+// executed, its answer alone, and with the write executed five seconds or a minute late. The
 // first, the second and the fifth of each kind are lost.
 func TestEveryWriteLost(t *testing.T) {
 	day := func() *day {
@@ -39,13 +39,16 @@
 	met := map[string]int{}
 	t.Run("each", func(t *testing.T) {
 		for _, kind := range kinds {
-			for _, how := range []string{"before", "after", "late"} {
+			for _, how := range []string{"before", "after", "soon", "late"} {
 				for _, skip := range []int{0, 1, 4} {
 					t.Run(fmt.Sprintf("%s/%s/%d", strings.Trim(kind, "/"), how, skip), func(t *testing.T) {
 						t.Parallel()
 						d := day()
 						l := &world.Lose{Prefix: core.Prefix + kind, Skip: skip, How: how}
-						if how == "late" {
+						switch how {
+						case "soon":
+							l.How, l.Late = "late", 5*second // after newer ones of the same leader
+						case "late":
 							l.Late = 60 * second
 						}
 						crash := at(60, "crash", 0)
--- a/internal/emulator/fake/node.go
+++ b/internal/emulator/fake/node.go
@@ -180,6 +180,9 @@
 	case core.View:
 		n.watch(e.After, 0, watchMost-watchWait, core.Watched{Sent: sent, View: true, Asked: e.Asked})
 	case core.Multi:
+		if c.Writes != nil {
+			c.Writes(e)
+		}
 		n.call(world.StateHost, multi(e), commitMost, func(status int, body any) {
 			a, _ := body.(wire.MultiAnswer)
 			n.step(core.Committed{ID: e.ID, Status: status, Ledger: a.Ledger, Failed: a.Failed})
@@ -249,9 +252,9 @@
 		}
 		n.call(e.Addr, q, directMost, func(int, any) {})
 	case core.GetTypes:
-		n.types(func(t core.Types) { n.step(t) })
+		n.types(func(t core.Types) { t.Token = e.Token; n.step(t) })
 	case core.ListMachines:
-		n.machines(core.Machines{}, "", e.Gap, func(m core.Machines) { n.step(m) })
+		n.machines(core.Machines{}, "", e.Gap, func(m core.Machines) { m.Token = e.Token; n.step(m) })
 	case core.CloudBy:
 		n.call(e.To, core.CloudFor{Token: e.Token, Call: e.Call}, cloudByMost, func(status int, body any) {
 			r, err := reply(body)
@@ -264,7 +267,7 @@
 	case core.Rent:
 		n.rent(e, func(r core.Rented) { n.step(r) })
 	case core.Release:
-		n.release(e.Names, func(r core.Released) { n.step(r) })
+		n.release(e.Names, func(r core.Released) { r.Token = e.Token; n.step(r) })
 	case core.Expand:
 		plan, err := api.UnpackSweep(e.Stored)
 		later(20_000, core.Expanded{ID: e.ID, Plan: plan, Err: err})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -324,9 +324,17 @@
 		case core.Direct:
 			n.workers.send(e)
 		case core.GetTypes:
-			go func() { n.tell(n.cloud.Types()) }()
+			go func() {
+				t := n.cloud.Types()
+				t.Token = e.Token
+				n.tell(t)
+			}()
 		case core.ListMachines:
-			go func() { n.tell(n.cloud.List(time.Duration(e.Gap) * time.Microsecond)) }()
+			go func() {
+				l := n.cloud.List(time.Duration(e.Gap) * time.Microsecond)
+				l.Token = e.Token
+				n.tell(l)
+			}()
 		case core.Expand:
 			go func() {
 				n.expanding.Lock()
@@ -349,10 +357,12 @@
 		case core.Release:
 			go func() {
 				if n.late(e.Until) {
-					n.tell(core.Released{Names: e.Names})
+					n.tell(core.Released{Names: e.Names, Token: e.Token})
 					return
 				}
-				n.tell(n.cloud.Release(e.Names))
+				r := n.cloud.Release(e.Names)
+				r.Token = e.Token
+				n.tell(r)
 			}()
 		}
 	}
