--- a/internal/emulator/fake/fake.go
+++ b/internal/emulator/fake/fake.go
@@ -170,6 +170,31 @@
 	return err
 }
 
+// LeaderFirst are the controllers' names, the leader's first.
+func (c *Cluster) LeaderFirst() []string {
+	names := make([]string, c.Config.Params.Size)
+	for i := range names {
+		names[i] = world.NodeName(i)
+	}
+	if l := c.Leaders(); len(l) > 0 {
+		i := slices.Index(names, l[len(l)-1])
+		names[0], names[i] = names[i], names[0]
+	}
+	return names
+}
+
+// BefallLater lets faults happen, each its At from now. The first that can't is
+// noted in failed.
+func (c *Cluster) BefallLater(failed *error, faults ...world.Fault) {
+	for _, f := range faults {
+		c.After(f.At, func() {
+			if err := c.Befall(f); err != nil && *failed == nil {
+				*failed = err
+			}
+		})
+	}
+}
+
 // Terms are what the rules are judged by.
 func (c *Cluster) Terms() history.Terms { return c.Config.Terms() }
 
--- a/internal/emulator/gaps/gaps.go
+++ b/internal/emulator/gaps/gaps.go
@@ -8,7 +8,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"slices"
 
 	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core"
@@ -231,15 +230,7 @@
 	cfg := c.deployment()
 	r := Result{loses: c.event.loses}
 	var failed error
-	befall := func(cl *fake.Cluster, faults ...world.Fault) {
-		for _, f := range faults {
-			cl.After(f.At, func() {
-				if err := cl.Befall(f); err != nil && failed == nil {
-					failed = err
-				}
-			})
-		}
-	}
+
 	var fates []*world.Lose
 	if c.fate != nil {
 		for range c.Jobs {
@@ -251,16 +242,16 @@
 	cl, err := fake.Run(cfg, fake.Options{Operators: ops, Log: log, Plain: c.plain, Begin: func(cl *fake.Cluster) {
 		cl.After(begins-2*second, func() {
 			for _, l := range fates {
-				befall(cl, world.Fault{Kind: "state_lose", Lose: l})
+				cl.BefallLater(&failed, world.Fault{Kind: "state_lose", Lose: l})
 			}
 		})
 		cl.After(begins, func() {
-			befall(cl, world.Fault{Kind: "state_refuse", Hosts: leaderFirst(cl)[:1], For: refused})
+			cl.BefallLater(&failed, world.Fault{Kind: "state_refuse", Hosts: cl.LeaderFirst()[:1], For: refused})
 		})
 		cl.After(c.outage(), func() {
-			befall(cl, world.Fault{Kind: "state_outage", For: c.lasts()})
+			cl.BefallLater(&failed, world.Fault{Kind: "state_outage", For: c.lasts()})
 		})
-		cl.After(c.outage()+c.event.at, func() { befall(cl, c.event.does(leaderFirst(cl))...) })
+		cl.After(c.outage()+c.event.at, func() { cl.BefallLater(&failed, c.event.does(cl.LeaderFirst())...) })
 	}})
 	if err == nil {
 		err = failed
@@ -294,16 +285,3 @@
 // plain says which controllers run a program from before they vouched: the second,
 // unless it leads, which is judged by its name as the days are the same.
 func (c Case) plain(node string) bool { return c.Old && node == world.NodeName(c.Size-1) }
-
-// leaderFirst are the controllers' names, the leader's first.
-func leaderFirst(cl *fake.Cluster) []string {
-	names := make([]string, cl.Config.Params.Size)
-	for i := range names {
-		names[i] = world.NodeName(i)
-	}
-	if l := cl.Leaders(); len(l) > 0 {
-		i := slices.Index(names, l[len(l)-1])
-		names[0], names[i] = names[i], names[0]
-	}
-	return names
-}
--- a/internal/emulator/troubles/troubles.go
+++ b/internal/emulator/troubles/troubles.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"math"
-	"slices"
 	"strings"
 
 	"github.com/zinclb/zinclb/internal/config"
@@ -278,25 +277,17 @@
 func Play(c Case, ops config.Operators, log *slog.Logger) (Result, error) {
 	cfg := deployment(c)
 	var failed error
-	befall := func(cl *fake.Cluster, faults []world.Fault) {
-		for _, f := range faults {
-			cl.After(f.At, func() {
-				if err := cl.Befall(f); err != nil && failed == nil {
-					failed = err
-				}
-			})
-		}
-	}
+
 	cl, err := fake.Run(cfg, fake.Options{Operators: ops, Log: log, Begin: func(cl *fake.Cluster) {
 		cl.After(begins, func() {
-			nodes := leaderFirst(cl)
+			nodes := cl.LeaderFirst()
 			for _, t := range c.troubles {
-				befall(cl, t.begin(nodes))
+				cl.BefallLater(&failed, t.begin(nodes)...)
 			}
 		})
 		cl.After(begins+3*second, func() {
 			if c.with.begin != nil {
-				befall(cl, c.with.begin(leaderFirst(cl)))
+				cl.BefallLater(&failed, c.with.begin(cl.LeaderFirst())...)
 			}
 		})
 	}})
@@ -309,19 +300,6 @@
 	return judge(cl), nil
 }
 
-// leaderFirst are the controllers' names, the leader's first.
-func leaderFirst(cl *fake.Cluster) []string {
-	var names []string
-	for i := range cl.Config.Params.Size {
-		names = append(names, world.NodeName(i))
-	}
-	if l := cl.Leaders(); len(l) > 0 {
-		i := slices.Index(names, l[len(l)-1])
-		names[0], names[i] = names[i], names[0]
-	}
-	return names
-}
-
 func judge(cl *fake.Cluster) Result {
 	r := Result{Least: 1, Largest: 1}
 	for _, b := range history.Judge(cl.History, cl.Terms()) {
