--- /dev/null
+++ b/internal/emulator/fake/gap_test.go
@@ -0,0 +1,85 @@
+package fake
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// TestGapOfMany: what package gaps plays for jobs, for all that goes with one
+// cancellation: the runs of a sweep, and the stages of a pipeline behind a
+// cancelled one. The leader is refused, another controller confirms, and the state
+// service is down for twice cancel_s.
+func TestGapOfMany(t *testing.T) {
+	const refused, outage, ends = 60 * second, 62 * second, 138 * second
+	var mu sync.Mutex
+	told := 0
+	day := func(t *testing.T, size int, lose string, back bool) {
+		t.Parallel()
+		d := sweeping(t, uint64(size), world.Sweep{At: 5 * second, Run: 200 * second, Cancel: refused + second, Times: 2, Text: forecast("rain", 10, 2, 20)})
+		d.Params.Size, d.Length = size, 420*second
+		long := wire.Job{Class: "p", Team: "blue", Kind: wire.Array, Tasks: 3, CPUs: 1, MemGB: 0.5, Priority: "urgent", Image: "im-p", ImageGB: 0.5, EstimateS: 200}
+		first, behind := long, long
+		first.ID, behind.ID = "first", "second"
+		behind.Awaits = []string{"first"}
+		d.Jobs = append(d.Jobs, job{At: 6 * second, Run: 200 * second, Cancel: refused + second/2, Spec: first}, job{At: 8 * second, Run: 5 * second, Spec: behind})
+		c := d.play(t, func(c *Cluster) {
+			var failed error
+			for _, prefix := range []string{"sweepend/", "end/", "end/"} {
+				if lose != "" {
+					c.BefallLater(&failed, world.Fault{At: refused, Kind: "state_lose", Lose: &world.Lose{Prefix: core.Prefix + prefix, How: lose, Late: second / 2}})
+				}
+			}
+			c.BefallLater(&failed, world.Fault{At: outage, Kind: "state_outage", For: ends - outage})
+			c.After(refused, func() {
+				nodes := c.LeaderFirst()
+				c.BefallLater(&failed, world.Fault{Kind: "state_refuse", Hosts: nodes[:1], For: 14 * second})
+				if back {
+					c.BefallLater(&failed, world.Fault{At: 4 * second, Kind: "crash", Hosts: nodes[1:2], For: 200_000})
+				}
+			})
+			if failed != nil {
+				t.Fatal(failed)
+			}
+		})
+		for _, b := range breaches(c) {
+			t.Error(b)
+		}
+		if l := c.World.Unfinished(); len(l) > 0 {
+			t.Errorf("not over at the end: %v", l)
+		}
+		on := 0
+		for _, e := range c.History {
+			switch {
+			case e.Kind == history.Told && e.State == wire.Withdrawn && e.At > refused && e.At < ends && (e.Job == history.SweepJob("rain") || e.Job == "second"):
+				mu.Lock()
+				told++
+				mu.Unlock()
+			case e.Kind == history.Entered && e.At < refused:
+				on++
+			}
+		}
+		if on < 10 {
+			t.Errorf("%d tasks were on machines", on)
+		}
+	}
+	t.Run("each", func(t *testing.T) {
+		for _, size := range []int{3, 5} {
+			for _, lose := range []string{"", "after", "late"} {
+				for _, back := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%d controllers, answers lost %q, another is back at once %v", size, lose, back), func(t *testing.T) {
+						day(t, size, lose, back)
+					})
+				}
+			}
+		}
+	})
+	if told < 12 {
+		t.Errorf("%d were told within", told)
+	}
+}
