Ends are looked up together; what is read of a transaction counts for its lost answer

Each question about a job that is not unfinished cost a read, 40 a second of the 80 that there are, and one refused with 429 was refused at once. Where only the answer of a transaction is lost, its writer waited two seconds and wrote it again in vain, while others told users of it. TestSilentWatch follows a renamed type and asserts the same.

--- a/internal/core/await_test.go
+++ b/internal/core/await_test.go
@@ -33,6 +33,17 @@
 	req         uint64
 	// quiet: changes are not told to the core, as to one whose watch lags.
 	quiet bool
+	// mute: transactions are carried out, and not answered. reads counts what was
+	// asked of single keys and what only compares; so many more are refused.
+	mute          bool
+	reads, refuse int
+}
+
+// refuses says whether a read is refused for its rate.
+func (s *shelf) refuses() bool {
+	s.reads++
+	s.refuse--
+	return s.refuse >= 0
 }
 
 func (s *shelf) put(key string, v any) {
@@ -94,7 +105,7 @@
 		case View:
 			s.view(Watched{After: e.After, Sent: s.now, View: true, Asked: e.Asked})
 		case Get:
-			if s.down || s.unreachable[e.Key] {
+			if s.refuses() || s.down || s.unreachable[e.Key] {
 				s.step(Got{ID: e.ID, Key: e.Key, Err: errors.New("no answer")})
 				continue
 			}
@@ -138,6 +149,9 @@
 	if s.down {
 		m.Status = 503
 	}
+	if len(e.Writes) == 0 && s.refuses() {
+		m.Status, m.Failed = 429, nil
+	}
 	var news []Change
 	if m.Status == 200 {
 		s.rev++
@@ -152,7 +166,9 @@
 			}
 		}
 	}
-	s.step(m)
+	if !s.mute {
+		s.step(m)
+	}
 	if news != nil && !s.quiet {
 		s.step(Watched{After: s.rev - 1, Ledger: s.rev, Sent: s.now, Changes: news})
 	}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -280,7 +280,9 @@
 			l.notBefore = sent + scarceGap
 		}
 		if m.Status == 200 {
-			c.proven(sent)
+			if !m.Echo {
+				c.proven(sent)
+			}
 			l.alone = false
 			pages.written(m.Ledger)
 			removals.done()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,6 +105,9 @@
 		Status int // 0: no answer, so unknown
 		Ledger uint64
 		Failed []string
+		// Echo: nobody answered, and the changes were read; so it is not known
+		// when it was carried out.
+		Echo bool
 	}
 	// Got is the answer to a Get; Stamp 0 means that the key is absent.
 	Got struct {
@@ -499,7 +502,7 @@
 	seen              map[string]redirect // workers that were sent elsewhere
 	// pings go out once a second
 	pinged int64
-	commit map[uint64]func(Committed)
+	commit map[uint64]*transaction
 	gets   map[uint64]func(Got)
 	budget bucket
 }
@@ -509,7 +512,7 @@
 	c := &Core{set: set, now: now, rng: rng, log: log, jobs: map[string]*ledger.Job{},
 		orphaned: map[string]map[ledger.Value]Change{}, ends: map[string]ledger.End{}, hints: map[string][]byte{},
 		peers: map[string]peerView{}, seen: map[string]redirect{}, span: ledger.ChunkTasks, graph: ledger.NewGraph(), recall: newRecall(), asking: map[string]int64{}, sweeps: map[string]*sweep{}, latch: newLatch(&set), goneAt: map[string]uint64{},
-		commit: map[uint64]func(Committed){}, gets: map[uint64]func(Got){}, reachAt: map[string]uint64{}, stamps: map[string]uint64{},
+		commit: map[uint64]*transaction{}, gets: map[uint64]func(Got){}, reachAt: map[string]uint64{}, stamps: map[string]uint64{},
 		links: reach.New(set.Name, set.Boot, set.Peers, set.Zones, config.Secs(set.Workers.ReportS))}
 	c.frugal = set.Frugal(&c.set.Ops)
 	c.witness = vouch.NewWitness(set.Boot, set.Peers, set.Hold(), now)
@@ -532,12 +535,11 @@
 	case Watched:
 		c.onWatched(m)
 	case Committed:
-		c.noteLimits(m.Status)
-		c.noteWrite(m)
-		if f := c.commit[m.ID]; f != nil {
-			delete(c.commit, m.ID)
-			f(m)
+		if t := c.commit[m.ID]; t == nil || len(t.writes) > 0 {
+			c.noteLimits(m.Status)
 		}
+		c.noteWrite(m)
+		c.ended(m)
 	case Got:
 		c.stateAnswered(&c.links.Reads, m.Err)
 		if f := c.gets[m.ID]; f != nil {
@@ -618,7 +620,11 @@
 
 func (c *Core) multi(when []Cond, writes []Write, f func(Committed)) {
 	id := c.id()
-	c.commit[id] = f
+	t := &transaction{writes: writes, done: f}
+	for _, w := range when {
+		t.after = max(t.after, w.Stamp)
+	}
+	c.commit[id] = t
 	c.emit(Multi{ID: id, When: when, Writes: writes})
 }
 
@@ -641,6 +647,7 @@
 			}
 		}
 	}
+	c.echoTick()
 	c.deskTick()
 	c.tellsTick()
 	c.electTick()
--- /dev/null
+++ b/internal/core/echo_test.go
@@ -0,0 +1,94 @@
+package core
+
+import "testing"
+
+// TestEcho: what was read of a transaction counts for its answer, where that is lost:
+// others tell users of it meanwhile, and its writer once wrote it again in vain for
+// two seconds at a time. Only all of its changes, as they were sent, of one revision
+// later than any that it is conditional on, show that it was carried out.
+func TestEcho(t *testing.T) {
+	const stamp = 20
+	put := func(key, value string) Write { return Write{Key: key, Value: []byte(value)} }
+	seen := func(key, value string, stamp uint64) Change {
+		return Change{Key: key, Value: []byte(value), Stamp: stamp}
+	}
+	writes := []Write{put("zinclb/x/a", "1"), put("zinclb/x/b", "2"), {Key: "zinclb/x/c"}}
+	gone := Change{Key: "zinclb/x/c", Stamp: stamp, Removed: true}
+	cases := []struct {
+		name string
+		seen []Change
+		want bool
+	}{
+		{"all of it", []Change{seen("zinclb/x/a", "1", stamp), seen("zinclb/x/b", "2", stamp), gone}, true},
+		{"all of it, beside others", []Change{seen("zinclb/x/a", "0", stamp-1), seen("zinclb/x/a", "1", stamp), seen("zinclb/x/b", "2", stamp), seen("zinclb/y", "2", stamp+1), gone}, true},
+		{"a part", []Change{seen("zinclb/x/a", "1", stamp), gone}, false},
+		{"another value", []Change{seen("zinclb/x/a", "1", stamp), seen("zinclb/x/b", "3", stamp), gone}, false},
+		{"a value where it removes", []Change{seen("zinclb/x/a", "1", stamp), seen("zinclb/x/b", "2", stamp), seen("zinclb/x/c", "", stamp)}, false},
+		{"two revisions", []Change{seen("zinclb/x/a", "1", stamp), seen("zinclb/x/b", "2", stamp+1), gone}, false},
+		{"the same changes of before, which it is conditional on", []Change{seen("zinclb/x/a", "1", stamp-10), seen("zinclb/x/b", "2", stamp-10), {Key: "zinclb/x/c", Stamp: stamp - 10, Removed: true}}, false},
+		{"nothing", nil, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t)
+			var got []Committed
+			r.c.multi([]Cond{{"zinclb/x/a", stamp - 10}, {"zinclb/x/b", 0}}, writes, func(m Committed) { got = append(got, m) })
+			r.c.out = nil // nobody answers
+			r.c.echoed(tc.seen)
+			r.tick(echoWait - 50_000)
+			if len(got) != 0 {
+				t.Fatal("the answer was given no time")
+			}
+			r.tick(100_000)
+			if ok := len(got) == 1 && got[0].Status == 200 && got[0].Ledger == stamp && got[0].Echo; ok != tc.want || len(got) > 1 {
+				t.Errorf("%+v, want an answer: %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestEchoOf: an answer that comes is taken as it is; one that does not come at all
+// is what was read.
+func TestEchoOf(t *testing.T) {
+	for _, tc := range []struct {
+		status, want int
+		echo         bool
+	}{{200, 200, false}, {409, 409, false}, {503, 503, false}, {0, 200, true}} {
+		r := newRig(t)
+		var got []Committed
+		r.c.multi([]Cond{{"zinclb/x", 0}}, []Write{{Key: "zinclb/x", Value: []byte("1")}}, func(m Committed) { got = append(got, m) })
+		r.c.out = nil // nobody answers
+		r.c.echoed([]Change{{Key: "zinclb/x", Value: []byte("1"), Stamp: 7}})
+		r.c.ended(Committed{ID: r.c.next, Status: tc.status, Ledger: 9})
+		r.tick(second)
+		if len(got) != 1 || got[0].Status != tc.want || got[0].Echo != tc.echo {
+			t.Errorf("answered %d: %+v", tc.status, got)
+		}
+	}
+}
+
+// TestAnswerLost: a user whose submission or cancellation was carried out, and whose
+// answer alone was lost, is answered at once and not when the writer gives up.
+func TestAnswerLost(t *testing.T) {
+	s := newShelf(t, map[string]any{formatKey: joined, jobPrefix + "open": job("open")})
+	s.run(200_000)
+	s.mute = true
+	for _, tc := range []struct {
+		msg  any
+		want string
+	}{{Submit{Spec: job("new").Spec}, Queued}, {Cancel{ID: "open"}, "cancelled"}, {Cancel{ID: "new"}, "cancelled"}} {
+		at := s.now
+		r := s.ask(tc.msg)
+		if r.Job == nil || r.Job.State != tc.want {
+			t.Fatalf("%T: %+v, want %s", tc.msg, r, tc.want)
+		}
+		if s.now-at > second/2 {
+			t.Errorf("%T took %d µs", tc.msg, s.now-at)
+		}
+	}
+	for _, id := range []string{"new", "open"} {
+		if s.keys[endPrefix+id].Value == nil {
+			t.Errorf("the end of %s is not stored", id)
+		}
+	}
+}
--- a/internal/core/reaching_test.go
+++ b/internal/core/reaching_test.go
@@ -144,7 +144,7 @@
 	b.c.lead.mirrored = b.now + 3600*second // what TestKnows has a leader read is not looked at here
 	b.rev += 3                              // others write, and nothing of it comes
 	id := b.c.id()
-	b.c.commit[id] = func(Committed) {}
+	b.c.commit[id] = &transaction{done: func(Committed) {}}
 	b.step(Committed{ID: id, Status: 409, Ledger: b.rev})
 	b.run(watchLate - 100_000)
 	if v := find[View](b); len(v) != 0 {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -57,6 +56,7 @@
 	inView  bool
 	viewAt  int64
 	writes  []*ask
+	ends    lookup
 }
 
 func (c *Core) onReady(m Ready) {
@@ -148,6 +148,9 @@
 	if !fleet.Fits(c.types, s) {
 		return "no allowed machine type has room for a task"
 	}
+	if !fleet.FitsApart(c.types, s) {
+		return "scatter: its tasks have to be in two zones at least, and may be in one only"
+	}
 	n := 1.0
 	if s.Kind != ledger.Array {
 		n = float64(s.Tasks)
@@ -247,30 +250,6 @@
 	}
 }
 
-// readEnd looks for the end of a job that is not unfinished: it was either
-// finished earlier or never accepted.
-func (c *Core) readEnd(a *ask) {
-	c.get(endPrefix+a.id, func(g Got) {
-		var e ledger.End
-		switch {
-		case g.Err != nil:
-			c.refuse(a)
-		case g.Stamp == 0 && a.refusal.Status != 0:
-			r := a.refusal
-			r.Req = a.req
-			c.emit(r)
-		case g.Stamp == 0:
-			c.emit(Reply{Req: a.req, Status: 404, Error: "no such job"})
-		case json.Unmarshal(g.Value, &e) != nil:
-			c.log.Error("stored end can't be read", "job", a.id)
-			c.refuse(a)
-		default:
-			c.noteEnd(a.id, e, g.Stamp)
-			c.answerEnd(a.req, a.id, e)
-		}
-	})
-}
-
 // write queues a submission or cancellation for the state service.
 func (c *Core) write(a *ask) {
 	if len(c.desk.writes) >= maxWaiting || c.stateLost() && a.tries == 0 {
@@ -437,6 +416,7 @@
 	}
 	c.writeNow()
 	c.viewNow()
+	c.lookNow()
 	if c.stateLost() && c.synced && !d.inView && c.now-d.viewAt > second/2 {
 		// Requests are refused meanwhile, so something has to find out
 		// when the state service answers again.
