A gang or service that is to be spread and can be in one zone only is refused

Accepted, it waited for ever: at most half of its tasks may be in one zone, and it was bound to one by paddock or one_zone, or by the types that it may use. An array's tasks may go one after the other and is accepted as before.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -27,6 +27,24 @@
 	return fits(types, s, func(*Type) bool { return true })
 }
 
+// FitsApart says whether the tasks of a job, all at once, can be in as many zones
+// as they have to be: spread over zones, at most half of them is in one.
+func FitsApart(types []Type, s *ledger.Spec) bool {
+	if !s.Spread || s.Kind == ledger.Array || s.Tasks == 1 {
+		return true // an array's tasks may go one after the other
+	}
+	zones := map[string]bool{}
+	fits(types, s, func(t *Type) bool {
+		if fits([]Type{*t}, s, func(*Type) bool { return true }) {
+			for _, z := range t.Zones {
+				zones[z] = true
+			}
+		}
+		return false
+	})
+	return s.Zone == "" && !s.OneZone && len(zones) > 1
+}
+
 // FitsWithoutGPUs says the same of the types without GPUs.
 func FitsWithoutGPUs(types []Type, s *ledger.Spec) bool {
 	return fits(types, s, func(t *Type) bool { return t.Cap.GPU == 0 })
