Linearizability: requests that say nothing beside others are left out of the search

A job only goes on from absent to accepted to its end, so of all answers that tell one state the last asked for and the first to come bound it. TestThin compares the verdict with that of the whole on 20,000 small histories, good and spoilt.

--- a/internal/emulator/history/linear.go
+++ b/internal/emulator/history/linear.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/anishathalye/porcupine"
 
@@ -101,7 +102,7 @@
 		}
 	}
 	for _, part := range byJob(ops) {
-		if !porcupine.CheckOperations(model(), part) {
+		if !porcupine.CheckOperations(model(), thin(part)) {
 			last := part[len(part)-1]
 			broken = append(broken, Breach{last.Call, "not_linear", last.Input.(asked).job})
 		}
@@ -109,6 +110,57 @@
 	return broken
 }
 
+// thin leaves out requests that say nothing beside others, since the search grows
+// beyond measure with those that overlap, as when users look closely. A job only goes
+// on, from absent to accepted to its end, so of all answers that tell the same state
+// the last to be asked for and the first to come bound when that was; and what was
+// asked for after an answer that shows the job accepted, or over, can't have made it
+// so, and is no more than a question. TestThin compares.
+func thin(ops []porcupine.Operation) (out []porcupine.Operation) {
+	// When the job was at the latest accepted, and over.
+	in, ended := int64(math.MaxInt64), int64(math.MaxInt64)
+	for _, o := range ops {
+		a := o.Output.(got)
+		switch {
+		case a.state == wire.Done || a.state == wire.Withdrawn:
+			in, ended = min(in, o.Return), min(ended, o.Return)
+		case o.Input.(asked).op == Submit || a.state == wire.Pending || a.state == wire.Running:
+			in = min(in, o.Return)
+		}
+	}
+	bounds := map[int][2]int{} // by what is told: last asked, first answered
+	for i, o := range ops {
+		q, a := o.Input.(asked), o.Output.(got)
+		question := q.op == Poll || q.op == Submit && o.Call > in || q.op == Withdraw && o.Call > ended
+		switch s := told(a); {
+		case !question:
+			out = append(out, o)
+		case s != unsaid:
+			b, ok := bounds[s]
+			if !ok {
+				b = [2]int{i, i}
+			}
+			if o.Call > ops[b[0]].Call {
+				b[0] = i
+			}
+			if o.Return < ops[b[1]].Return {
+				b[1] = i
+			}
+			bounds[s] = b
+		}
+	}
+	for s := range unsaid {
+		if b, ok := bounds[s]; ok {
+			for _, i := range slices.Compact(b[:]) {
+				o := ops[i]
+				o.Input = asked{Poll, o.Input.(asked).job}
+				out = append(out, o)
+			}
+		}
+	}
+	return out
+}
+
 // byJob splits operations by their jobs, in the order of their first ones.
 func byJob(ops []porcupine.Operation) [][]porcupine.Operation {
 	at := map[string]int{}
@@ -151,21 +203,30 @@
 	}
 }
 
-// fits says whether an answer fits a state. One without a status came never.
-func fits(s int, a got) bool {
+// unsaid is an answer that tells no state.
+const unsaid = withdrawn + 1
+
+// told is the state that an answer tells.
+func told(a got) int {
 	switch {
-	case a.status == 0:
-		return true
 	case a.status == 404:
-		return s == absent
+		return absent
+	case a.status == 0:
+		return unsaid
 	}
 	switch a.state {
 	case wire.Done:
-		return s == over
+		return over
 	case wire.Withdrawn:
-		return s == withdrawn
+		return withdrawn
 	case wire.Pending, wire.Running:
-		return s == accepted
+		return accepted
 	}
-	return true
+	return unsaid
+}
+
+// fits says whether an answer fits a state. One without a status came never.
+func fits(s int, a got) bool {
+	t := told(a)
+	return t == unsaid || t == s
 }
--- /dev/null
+++ b/internal/emulator/history/thin_test.go
@@ -0,0 +1,89 @@
+package history
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// TestThin compares the verdict on thinned histories of one job with that on all of
+// it: on histories that came about in order, with requests that overlap, and on the
+// same with an answer or a time changed.
+func TestThin(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 8))
+	good, bad := 0, 0
+	for range 20_000 {
+		// The job is accepted, and ends by itself or is withdrawn, at these times.
+		in, end := 10+rng.Int64N(10), 25+rng.Int64N(20)
+		last := []string{wire.Done, wire.Withdrawn}[rng.IntN(2)]
+		at := func(when int64) got {
+			switch {
+			case when < in:
+				return got{404, ""}
+			case when < end:
+				return got{200, wire.Pending}
+			}
+			return got{200, last}
+		}
+		var ops []porcupine.Operation
+		add := func(op string, from, to int64, a got) {
+			ops = append(ops, porcupine.Operation{Input: asked{op, "j"}, Call: from, Return: to, Output: a})
+		}
+		around := func(op string, when int64) {
+			from, to := when-rng.Int64N(6), when+1+rng.Int64N(6)
+			if op == Submit {
+				add(op, from, to, got{})
+				op = Poll
+			}
+			add(op, from, to, at(when))
+		}
+		around(Submit, in)
+		if last == wire.Withdrawn {
+			if rng.IntN(3) == 0 {
+				add(Withdraw, end-1, math.MaxInt64, got{})
+			} else {
+				around(Withdraw, end)
+			}
+		} else {
+			add(finish, end-rng.Int64N(3), math.MaxInt64, got{})
+		}
+		for range rng.IntN(7) {
+			around(Poll, rng.Int64N(55))
+		}
+		for range rng.IntN(3) {
+			around(Submit, in+rng.Int64N(40))
+		}
+		if rng.IntN(3) == 0 {
+			around(Withdraw, end+rng.Int64N(8))
+		}
+		if rng.IntN(2) == 0 { // it is spoilt, perhaps
+			o := &ops[rng.IntN(len(ops))]
+			switch rng.IntN(3) {
+			case 0:
+				o.Call = min(o.Call+rng.Int64N(30), o.Return)
+			case 1:
+				o.Return = max(o.Return-rng.Int64N(30), o.Call)
+			default:
+				if o.Input.(asked).op == Poll {
+					o.Output = []got{{404, ""}, {200, wire.Running}, {200, wire.Done}, {200, wire.Withdrawn}}[rng.IntN(4)]
+				}
+			}
+		}
+		whole := porcupine.CheckOperations(model(), ops)
+		if got := porcupine.CheckOperations(model(), thin(ops)); got != whole {
+			t.Fatalf("thinned %v, whole %v: %+v", got, whole, ops)
+		}
+		if whole {
+			good++
+		} else {
+			bad++
+		}
+	}
+	if good < 5000 || bad < 500 {
+		t.Errorf("%d could have happened, %d not: too few of one", good, bad)
+	}
+}
