A submission or cancellation that is repeated while it is written costs no second write

Now a write about a job that is under way is waited for, and the others go on from a view after it. Found by reading, for users who repeat the submission within milliseconds.

--- a/internal/core/await_test.go
+++ b/internal/core/await_test.go
@@ -37,6 +37,9 @@
 	// asked of single keys and what only compares; so many more are refused.
 	mute          bool
 	reads, refuse int
+	// slow: transactions are carried out when they are taken from later.
+	slow  bool
+	later []Multi
 }
 
 // refuses says whether a read is refused for its rate.
@@ -132,6 +135,10 @@
 }
 
 func (s *shelf) multi(e Multi) {
+	if s.slow {
+		s.later = append(s.later, e)
+		return
+	}
 	m := Committed{ID: e.ID, Status: 200}
 	for _, w := range e.When {
 		if s.keys[w.Key].Stamp != w.Stamp {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -517,6 +517,7 @@
 	c.frugal = set.Frugal(&c.set.Ops)
 	c.witness = vouch.NewWitness(set.Boot, set.Peers, set.Hold(), now)
 	c.tells.sent = map[string]int64{}
+	c.desk.under = map[string][]*ask{}
 	c.list()
 	return c
 }
--- a/internal/core/echo_test.go
+++ b/internal/core/echo_test.go
@@ -92,3 +92,51 @@
 		}
 	}
 }
+
+// TestRepeats: users who repeat a submission or a cancellation while it is written
+// cost no writes: there are few a second, and placements need them.
+func TestRepeats(t *testing.T) {
+	s := newShelf(t, map[string]any{formatKey: joined, jobPrefix + "open": job("open")})
+	s.run(200_000)
+	for _, tc := range []struct {
+		id, want string
+		msg      func(req uint64) any
+	}{
+		{"new", Queued, func(req uint64) any { return Submit{Req: req, Spec: job("new").Spec} }},
+		{"open", "cancelled", func(req uint64) any { return Cancel{Req: req, ID: "open"} }},
+	} {
+		var reqs []uint64
+		s.slow = true
+		for range 5 {
+			for range 6 {
+				s.req++
+				reqs = append(reqs, s.req)
+				s.step(tc.msg(s.req))
+			}
+			s.run(100_000)
+		}
+		n := 0
+		for _, e := range s.later {
+			for _, w := range e.Writes {
+				if w.Key == jobPrefix+tc.id {
+					n++
+				}
+			}
+		}
+		s.slow = false
+		for len(s.later) > 0 {
+			e := s.later[0]
+			s.later = s.later[1:]
+			s.multi(e)
+		}
+		s.run(second)
+		for _, r := range reqs {
+			if a := s.got[r]; a.Job == nil || a.Job.State != tc.want {
+				t.Errorf("%s: %+v, want %s", tc.id, a, tc.want)
+			}
+		}
+		if n != 1 {
+			t.Errorf("%d transactions about %s for %d requests", n, tc.id, len(reqs))
+		}
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -57,6 +57,28 @@
 	viewAt  int64
 	writes  []*ask
 	ends    lookup
+	// under has, for each job that a write is under way about, the requests that
+	// wait for what it makes true: a user who repeats one is to cost no more.
+	under map[string][]*ask
+}
+
+// follow says whether a write about the same job is under way; then the request goes
+// on from what is stored after it.
+func (d *desk) follow(a *ask) bool {
+	l, ok := d.under[a.id]
+	if ok {
+		d.under[a.id] = append(l, a)
+	}
+	return ok
+}
+
+// followed lets those go on that waited for a write.
+func (c *Core) followed(id string) {
+	l := c.desk.under[id]
+	delete(c.desk.under, id)
+	for _, a := range l {
+		c.wait(a)
+	}
 }
 
 func (c *Core) onReady(m Ready) {
@@ -270,6 +292,10 @@
 			c.refuse(a)
 			continue
 		}
+		if d.follow(a) {
+			d.writes = d.writes[1:]
+			continue
+		}
 		// Users come before placements, so they may use what the leader's
 		// own writes keep back, and some of what it will have.
 		if c.budget.level < 1 && (c.lead == nil || c.budget.level < 1-c.writeRate()/4) {
@@ -299,7 +325,9 @@
 		c.wait(a)
 		return
 	}
+	c.desk.under[a.id] = nil
 	c.multi([]Cond{{job, 0}, {endPrefix + a.id, 0}}, []Write{{Key: job, Value: value}}, func(m Committed) {
+		defer c.followed(a.id)
 		switch m.Status {
 		case 200:
 			c.emit(Reply{Req: a.req, Status: 201, Job: &JobState{ID: a.id, State: Queued}})
@@ -339,10 +367,12 @@
 	}
 	e := c.end(ledger.Cancelled, j)
 	stamp := j.Stamp
+	c.desk.under[a.id] = nil
 	c.multi([]Cond{{jobPrefix + a.id, stamp}, {endPrefix + a.id, 0}}, []Write{
 		{Key: endPrefix + a.id, Value: encode(e)},
 		{Key: jobPrefix + a.id, Value: c.overRecord(j, ledger.Cancelled)},
 	}, func(m Committed) {
+		defer c.followed(a.id)
 		switch m.Status {
 		case 200:
 			if j.Stamp == stamp {
