--- a/internal/core/echo.go
+++ b/internal/core/echo.go
@@ -27,7 +27,7 @@
 
 // echoWait is how long the answer to a transaction may take once its changes are
 // seen: the two come by different ways.
-const echoWait = 250_000
+const echoWait = 80_000
 
 // echoed looks for transactions whose changes have come.
 func (c *Core) echoed(changes []Change) {
--- a/internal/emulator/fake/lose_test.go
+++ b/internal/emulator/fake/lose_test.go
@@ -52,7 +52,8 @@
 							l.Late = 60 * second
 						}
 						crash := at(60, "crash", 0)
-						d.Faults = []fault{{At: 59 * second, Kind: "state_lose", Lose: l}, crash}
+						// Users ask everywhere what others read of it meanwhile.
+						d.Faults = []fault{{At: 59 * second, Kind: "state_lose", Lose: l}, crash, at(40, "close_looks", 60)}
 						switch kind {
 						case "types", "format", "member/", "features":
 							d.Faults[0].At = 0 // they are written once, at the start
