--- a/internal/emulator/troubles/troubles.go
+++ b/internal/emulator/troubles/troubles.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -27,14 +28,20 @@
 type trouble struct {
 	name  string
 	begin func(nodes []string) []world.Fault
+	// again is called several times, so long apart, with the controllers as they are
+	// then, and the number of the time.
+	again func(nodes []string, i int) []world.Fault
+	times int
+	every int64
 	// load changes the deployment or adds to what comes, if it is set.
 	load func(*day)
 	// scarce: there is more work than room, so that not all of it is served.
 	scarce bool
 	// outage: the state service is down for almost all of it.
 	outage bool
-	// met is what the trouble has to have brought about.
-	met string
+	// met is what the trouble has to have brought about, least how often at least.
+	met   string
+	least int
 }
 
 // lasts is how long a trouble goes on, longer than two leases.
@@ -301,7 +308,7 @@
 	// their job is cancelled.
 	StartsAfter int
 	scarce      bool
-	want        []string
+	want        map[string]int
 }
 
 // Short says what falls short of what there should be, "" if nothing does.
@@ -310,7 +317,7 @@
 	case len(r.Breaches) > 0:
 		return "broken: " + strings.Join(r.Breaches, "; ")
 	case len(r.lacks()) > 0:
-		return fmt.Sprintf("never met: %v", r.lacks())
+		return fmt.Sprintf("not met: %v", r.lacks())
 	case len(r.Left) > 0:
 		return fmt.Sprintf("not over at the end: %v", r.Left)
 	case r.scarce:
@@ -326,9 +333,9 @@
 
 // lacks names what the troubles were to bring about and did not.
 func (r *Result) lacks() (l []string) {
-	for _, w := range r.want {
-		if r.Met[w] == 0 {
-			l = append(l, w)
+	for _, w := range slices.Sorted(maps.Keys(r.want)) {
+		if r.Met[w] < r.want[w] {
+			l = append(l, fmt.Sprintf("%s (%d of %d)", w, r.Met[w], r.want[w]))
 		}
 	}
 	return l
@@ -341,10 +348,11 @@
 		return Result{}, fmt.Errorf("%s: %w", c, err)
 	}
 	r := judge(cl)
+	r.want = map[string]int{}
 	for _, t := range c.troubles {
 		r.scarce = r.scarce || t.scarce
 		if t.met != "" && len(c.troubles) == 1 { // one may keep another from being met
-			r.want = append(r.want, t.met)
+			r.want[t.met] = max(t.least, 1)
 		}
 	}
 	return r, nil
@@ -366,7 +374,12 @@
 		cl.After(begins, func() {
 			nodes := cl.LeaderFirst()
 			for _, t := range c.troubles {
-				cl.BefallLater(&failed, t.begin(nodes)...)
+				if t.begin != nil {
+					cl.BefallLater(&failed, t.begin(nodes)...)
+				}
+				for i := range t.times {
+					cl.After(int64(i)*t.every, func() { cl.BefallLater(&failed, t.again(cl.LeaderFirst(), i)...) })
+				}
 			}
 		})
 		cl.After(begins+3*second, func() {
@@ -381,6 +394,15 @@
 	return cl, err
 }
 
+// What is met beside what the world records.
+const (
+	metLeader = "a leader begins"
+	metLease  = "a task ends with its machine's lease"
+	metBound  = "a task bound to a zone loses its machine"
+	metTiny   = "a one-task job is accepted"
+	metQueue  = "a job waits for ten seconds"
+)
+
 func judge(cl *fake.Cluster) Result {
 	r := Result{Least: 1, Largest: 1, Met: map[string]int{}}
 	for _, b := range history.Judge(cl.History, cl.Terms()) {
@@ -404,12 +426,36 @@
 	}
 	r.Left = cl.World.Unfinished()
 	r.Within = within(cl)
+	jobs, first, begun := cl.Terms().Jobs, map[string]int64{}, map[string]bool{}
 	for _, e := range cl.History {
 		switch e.Kind {
+		case history.Started:
+			if !begun[e.Job] && e.At-first[e.Job] > 10*second {
+				r.Met[metQueue]++
+			}
+			begun[e.Job] = true
+		case history.Sent:
+			if first[e.Job] == 0 {
+				first[e.Job] = e.At
+			}
 		case history.Late:
 			r.Late++
 		case history.Met:
 			r.Met[e.Why]++
+		case history.Stored:
+			if e.Key == core.Prefix+"leader" && e.State == "put" && e.At > begins {
+				r.Met[metLeader]++
+			}
+		case history.Left:
+			if e.Why == "lease" {
+				r.Met[metLease]++
+			} else if e.Why == "died" && jobs[e.Job].Class == "bound" {
+				r.Met[metBound]++
+			}
+		case history.Told:
+			if e.Status == 201 && jobs[e.Job] != nil && jobs[e.Job].Class == "tiny" {
+				r.Met[metTiny]++
+			}
 		}
 	}
 	return r
