--- /dev/null
+++ b/internal/emulator/fake/onetask_test.go
@@ -0,0 +1,62 @@
+package fake
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// TestOneTaskJobs: one-task jobs come four a second for three minutes, a quarter of
+// them cancelled, where 25 changes a second are allowed, and users look closely for a
+// while. What a job costs in changes from its acceptance to its removal is bounded,
+// all are served at once, and at the end no key of theirs is left but the end.
+func TestOneTaskJobs(t *testing.T) {
+	d := small(12)
+	d.Jobs, d.Length = nil, 330*second
+	d.up(16)
+	const n = 720
+	for i := range n {
+		j := job{At: 20*second + int64(i)*250_000, Run: 5 * second, Spec: wire.Job{ID: fmt.Sprintf("tiny-%03d", i), Class: "tiny", Team: []string{"red", "blue"}[i%2], Kind: wire.Array, Tasks: 1,
+			CPUs: 1, GPUs: 0.1, MemGB: 1, Priority: "normal", Image: "im", ImageGB: 0.1, EstimateS: 5}}
+		if i%4 == 3 {
+			j.Cancel = j.At + int64(i%40)*200_000
+		}
+		d.Jobs = append(d.Jobs, j)
+	}
+	d.Faults = []fault{at(80, "close_looks", 30), at(140, "crash", 0)}
+	c := d.whole(t)
+	changes, left := 0, map[string]bool{}
+	for _, e := range c.History {
+		key := strings.TrimPrefix(e.Key, core.Prefix)
+		about := strings.HasPrefix(key, "job/") || strings.HasPrefix(key, "end/") || strings.HasPrefix(key, "run/") || strings.HasPrefix(key, "log/")
+		if e.Kind != history.Stored || !about {
+			continue
+		}
+		changes++
+		if left[key] = e.State == "put"; e.State != "put" {
+			delete(left, key)
+		}
+	}
+	per := float64(changes) / n
+	t.Logf("%.2f changes a job", per)
+	if per > 4.5 {
+		t.Errorf("%.2f changes a job, of which 25 a second are allowed for four jobs", per)
+	}
+	for key := range left {
+		if strings.HasPrefix(key, "job/") || strings.HasPrefix(key, "run/") {
+			t.Errorf("%s is left", key)
+		}
+	}
+	m := history.Measure(c.History, c.Terms(), []history.Aim{{Kind: "complete", Class: "tiny", Within: 20 * second}})
+	if v := m["complete tiny 20 s"]; v < 0.9 {
+		t.Errorf("%.2f are done within 20 s", v)
+	}
+	if m["accept_p99_s"] > 8 {
+		t.Errorf("accepted within %.1f s (99%%)", m["accept_p99_s"])
+	}
+	t.Log(m["complete tiny 20 s"], m["accept_p50_s"], m["accept_p99_s"], m[history.StartsAfter])
+}
