--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -10,7 +10,6 @@
 type peerView struct {
 	at      int64 // when the ping was sent that it last answered
 	stateOK int64 // when, at the latest, the state service answered it
-	token   uint64
 }
 
 // peerUp says whether a peer has answered of late.
@@ -49,7 +48,7 @@
 	if m.Sent < v.at {
 		return
 	}
-	v.at, v.token = m.Sent, m.News.Token
+	v.at = m.Sent
 	c.latch.Answered(m.Peer, m.Sent, m.News.Version, m.News.Features)
 	if m.News.Lowered {
 		c.lower("a peer says so")
--- a/internal/core/vouch/vouch.go
+++ b/internal/core/vouch/vouch.go
@@ -187,10 +187,6 @@
 	w.heard(l, ack.Boot, ack.Upto, ack.Applied)
 }
 
-// MayTell says whether users may be told of a cancellation: nobody lives on the
-// word of this controller, or of an earlier start of it, without knowing of it.
-func (w *Witness) MayTell(id string, now int64) bool { return len(w.lacking(id, now)) == 0 }
-
 // lacking are the controllers that have to be told first.
 func (w *Witness) lacking(id string, now int64) (names []string) {
 	n, ok := w.log.number[id]
--- a/internal/core/vouch/vouch_test.go
+++ b/internal/core/vouch/vouch_test.go
@@ -215,7 +215,7 @@
 			m := newMeeting()
 			m.w.Note("a", 9)
 			tc.do(m)
-			if got := m.w.MayTell("a", m.now); got != tc.may || m.boot < 0 {
+			if got := len(m.w.Lacking([]string{"a"}, m.now)) == 0; got != tc.may || m.boot < 0 {
 				t.Errorf("may tell: %v, want %v", got, tc.may)
 			}
 			if got := m.w.Lacking([]string{"a", "a"}, m.now); (len(got) == 0) != tc.may {
