--- a/cmd/zinclb-emulator/troubles.go
+++ b/cmd/zinclb-emulator/troubles.go
@@ -10,19 +10,18 @@
 	"github.com/zinclb/zinclb/internal/emulator/troubles"
 )
 
-// troublesCommand plays days with deaf machines, late copies of reports, and
-// processes and machines that are back at once.
+// troublesCommand plays days on which troubles meet.
 func troublesCommand() *cobra.Command {
 	var size, each, first, jobs int
 	cmd := &cobra.Command{
 		Use:   "troubles",
-		Short: "Plays deaf machines, late copies and quick returns in fake time, and lists what falls short",
+		Short: "Plays days on which troubles meet in fake time, and lists what falls short",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if err := checkPart(size, each, first, jobs); err != nil {
 				return err
 			}
-			short, broken := 0, 0
+			short, broken, after, most := 0, 0, 0, 0
 			cases := troubles.Part(troubles.All(size), first, each)
 			playAll(cases, jobs, func(c troubles.Case) func() {
 				r, err := troubles.Play(c, config.Defaults(), nil)
@@ -34,13 +33,14 @@
 					if len(r.Breaches) > 0 {
 						broken++
 					}
+					after, most = after+r.StartsAfter, max(most, r.StartsAfter)
 					if what != "" {
 						short++
 						fmt.Printf("case %d, %s: %s\n", c.Seed, c, what)
 					}
 				}
 			})
-			fmt.Printf("%d played, %d fell short, %d broke a rule\n", len(cases), short, broken)
+			fmt.Printf("%d played, %d fell short, %d broke a rule; %d tasks entered a machine after their cancellation was confirmed, at most %d on a day\n", len(cases), short, broken, after, most)
 			if broken > 0 {
 				return fmt.Errorf("%d cases broke a rule", broken)
 			}
