--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -280,7 +280,7 @@
 			l.notBefore = sent + scarceGap
 		}
 		if m.Status == 200 {
-			if !m.Echo {
+			if !m.Observed {
 				c.proven(sent)
 			}
 			l.alone = false
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,9 +105,9 @@
 		Status int // 0: no answer, so unknown
 		Ledger uint64
 		Failed []string
-		// Echo: nobody answered, and the changes were read; so it is not known
+		// Observed: nobody answered, and the changes were read; so it is not known
 		// when it was carried out.
-		Echo bool
+		Observed bool
 	}
 	// Got is the answer to a Get; Stamp 0 means that the key is absent.
 	Got struct {
@@ -479,11 +479,11 @@
 	// frugal: money is weighed.
 	frugal bool
 
-	desk  desk
-	elect election
-	lead  *leadership
-	peers map[string]peerView
-	links *reach.Links
+	requests requests
+	elect    election
+	lead     *leadership
+	peers    map[string]peerView
+	links    *reach.Links
 	// reachAt are the versions of what controllers said of what they reach.
 	reachAt map[string]uint64
 	reached int64 // when the links were last looked at
@@ -517,7 +517,7 @@
 	c.frugal = set.Frugal(&c.set.Ops)
 	c.witness = vouch.NewWitness(set.Boot, set.Peers, set.Hold(), now)
 	c.tells.sent = map[string]int64{}
-	c.desk.under = map[string][]*ask{}
+	c.requests.inFlight = map[string][]*ask{}
 	c.list()
 	return c
 }
@@ -648,8 +648,8 @@
 			}
 		}
 	}
-	c.echoTick()
-	c.deskTick()
+	c.observedTick()
+	c.requestsTick()
 	c.tellsTick()
 	c.electTick()
 	c.joinTick()
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -34,17 +34,17 @@
 // readEnd looks for the end of a job that is not unfinished: it was either
 // finished earlier or never accepted.
 func (c *Core) readEnd(a *ask) {
-	if len(c.desk.ends.waiting) >= maxWaiting {
+	if len(c.requests.ends.waiting) >= maxWaiting {
 		c.refuse(a)
 		return
 	}
-	c.desk.ends.waiting = append(c.desk.ends.waiting, a)
+	c.requests.ends.waiting = append(c.requests.ends.waiting, a)
 	c.lookNow()
 }
 
 // lookNow asks about the ends that requests wait for, if nothing is under way.
 func (c *Core) lookNow() {
-	l := &c.desk.ends
+	l := &c.requests.ends
 	if l.flying || len(l.waiting) == 0 || l.at != 0 && c.now-l.at < c.viewGap() {
 		return
 	}
@@ -90,10 +90,10 @@
 // lookAgain has requests asked about once more, those that may still wait.
 func (c *Core) lookAgain(asks []*ask) {
 	for _, a := range asks {
-		if a.tries++; c.now-a.since > a.patience()*3/4 || c.stateLost() || len(c.desk.ends.waiting) >= maxWaiting {
+		if a.tries++; c.now-a.since > a.patience()*3/4 || c.stateLost() || len(c.requests.ends.waiting) >= maxWaiting {
 			c.refuse(a)
 		} else {
-			c.desk.ends.waiting = append(c.desk.ends.waiting, a)
+			c.requests.ends.waiting = append(c.requests.ends.waiting, a)
 		}
 	}
 }
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -105,7 +105,7 @@
 			}
 		}
 		c.applied = max(c.applied, m.Ledger)
-		c.echoed(m.Changes)
+		c.observe(m.Changes)
 		if !c.checkFit(false) {
 			return
 		}
--- a/internal/core/echo.go
+++ b/internal/core/observed.go
@@ -10,7 +10,7 @@
 // up and writes it again, in vain. So a writer goes by what it reads as well: if the
 // mirror shows every change of a transaction, all of one revision, it was carried
 // out, by this sending or by an earlier one of the same changes. That proves what is
-// stored, and nothing of when: see Committed.Echo.
+// stored, and nothing of when: see Committed.Observed.
 
 // transaction is one that is under way.
 type transaction struct {
@@ -25,12 +25,12 @@
 	seen   int64
 }
 
-// echoWait is how long the answer to a transaction may take once its changes are
+// observedWait is how long the answer to a transaction may take once its changes are
 // seen: the two come by different ways.
-const echoWait = 80_000
+const observedWait = 80_000
 
-// echoed looks for transactions whose changes have come.
-func (c *Core) echoed(changes []Change) {
+// observe looks for transactions whose changes have come.
+func (c *Core) observe(changes []Change) {
 	if len(c.commit) == 0 || len(changes) == 0 {
 		return
 	}
@@ -55,18 +55,18 @@
 	}
 }
 
-// echoTick ends transactions that are known to be stored and that nobody answers.
-func (c *Core) echoTick() {
+// observedTick ends transactions that are known to be stored and that nobody answers.
+func (c *Core) observedTick() {
 	var ids []uint64
 	for id, t := range c.commit {
-		if t.stored != 0 && c.now-t.seen >= echoWait {
+		if t.stored != 0 && c.now-t.seen >= observedWait {
 			ids = append(ids, id)
 		}
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
 		if t := c.commit[id]; t != nil {
-			c.ended(Committed{ID: id, Status: 200, Ledger: t.stored, Echo: true})
+			c.ended(Committed{ID: id, Status: 200, Ledger: t.stored, Observed: true})
 		}
 	}
 }
@@ -75,7 +75,7 @@
 func (c *Core) ended(m Committed) {
 	if t := c.commit[m.ID]; t != nil {
 		if m.Status == 0 && t.stored != 0 {
-			m.Status, m.Ledger, m.Echo = 200, t.stored, true
+			m.Status, m.Ledger, m.Observed = 200, t.stored, true
 		}
 		delete(c.commit, m.ID)
 		t.done(m)
--- a/internal/core/echo_test.go
+++ b/internal/core/observed_test.go
@@ -2,11 +2,11 @@
 
 import "testing"
 
-// TestEcho: what was read of a transaction counts for its answer, where that is lost:
+// TestObserved: what was read of a transaction counts for its answer, where that is lost:
 // others tell users of it meanwhile, and its writer once wrote it again in vain for
 // two seconds at a time. Only all of its changes, as they were sent, of one revision
 // later than any that it is conditional on, show that it was carried out.
-func TestEcho(t *testing.T) {
+func TestObserved(t *testing.T) {
 	const stamp = 20
 	put := func(key, value string) Write { return Write{Key: key, Value: []byte(value)} }
 	seen := func(key, value string, stamp uint64) Change {
@@ -34,34 +34,34 @@
 			var got []Committed
 			r.c.multi([]Cond{{"zinclb/x/a", stamp - 10}, {"zinclb/x/b", 0}}, writes, func(m Committed) { got = append(got, m) })
 			r.c.out = nil // nobody answers
-			r.c.echoed(tc.seen)
-			r.tick(echoWait - 50_000)
+			r.c.observe(tc.seen)
+			r.tick(observedWait - 50_000)
 			if len(got) != 0 {
 				t.Fatal("the answer was given no time")
 			}
 			r.tick(100_000)
-			if ok := len(got) == 1 && got[0].Status == 200 && got[0].Ledger == stamp && got[0].Echo; ok != tc.want || len(got) > 1 {
+			if ok := len(got) == 1 && got[0].Status == 200 && got[0].Ledger == stamp && got[0].Observed; ok != tc.want || len(got) > 1 {
 				t.Errorf("%+v, want an answer: %v", got, tc.want)
 			}
 		})
 	}
 }
 
-// TestEchoOf: an answer that comes is taken as it is; one that does not come at all
+// TestObservedOrAnswered: an answer that comes is taken as it is; one that does not come at all
 // is what was read.
-func TestEchoOf(t *testing.T) {
+func TestObservedOrAnswered(t *testing.T) {
 	for _, tc := range []struct {
 		status, want int
-		echo         bool
+		observed     bool
 	}{{200, 200, false}, {409, 409, false}, {503, 503, false}, {0, 200, true}} {
 		r := newRig(t)
 		var got []Committed
 		r.c.multi([]Cond{{"zinclb/x", 0}}, []Write{{Key: "zinclb/x", Value: []byte("1")}}, func(m Committed) { got = append(got, m) })
 		r.c.out = nil // nobody answers
-		r.c.echoed([]Change{{Key: "zinclb/x", Value: []byte("1"), Stamp: 7}})
+		r.c.observe([]Change{{Key: "zinclb/x", Value: []byte("1"), Stamp: 7}})
 		r.c.ended(Committed{ID: r.c.next, Status: tc.status, Ledger: 9})
 		r.tick(second)
-		if len(got) != 1 || got[0].Status != tc.want || got[0].Echo != tc.echo {
+		if len(got) != 1 || got[0].Status != tc.want || got[0].Observed != tc.observed {
 			t.Errorf("answered %d: %+v", tc.status, got)
 		}
 	}
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -709,7 +709,7 @@
 	l := c.lead
 	c.budget.refill(c.now, c.writeRate())
 	spare := int(c.budget.level - c.writeRate()*sweepReserve)
-	if len(c.desk.writes) > 0 || spare < 2 {
+	if len(c.requests.writes) > 0 || spare < 2 {
 		return
 	}
 	when := []Cond{{leaderKey, l.stamp}, {sweepAtPrefix + s.id, s.at}}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -48,34 +48,34 @@
 	askSweepCancel
 )
 
-// desk serves the users: it shares one read of the moment among all requests
+// requests serves the users: it shares one read of the moment among all requests
 // that wait for one, and holds writes back while the budget is used up.
-type desk struct {
+type requests struct {
 	waiting []*ask // for the next view
 	viewing []*ask // for the view under way
 	inView  bool
 	viewAt  int64
 	writes  []*ask
 	ends    lookup
-	// under has, for each job that a write is under way about, the requests that
+	// inFlight has, for each job that a write is under way about, the requests that
 	// wait for what it makes true: a user who repeats one is to cost no more.
-	under map[string][]*ask
+	inFlight map[string][]*ask
 }
 
-// follow says whether a write about the same job is under way; then the request goes
+// coalesce says whether a write about the same job is under way; then the request goes
 // on from what is stored after it.
-func (d *desk) follow(a *ask) bool {
-	l, ok := d.under[a.id]
+func (d *requests) coalesce(a *ask) bool {
+	l, ok := d.inFlight[a.id]
 	if ok {
-		d.under[a.id] = append(l, a)
+		d.inFlight[a.id] = append(l, a)
 	}
 	return ok
 }
 
-// followed lets those go on that waited for a write.
-func (c *Core) followed(id string) {
-	l := c.desk.under[id]
-	delete(c.desk.under, id)
+// resumeCoalesced lets those go on that waited for a write.
+func (c *Core) resumeCoalesced(id string) {
+	l := c.requests.inFlight[id]
+	delete(c.requests.inFlight, id)
 	for _, a := range l {
 		c.wait(a)
 	}
@@ -185,11 +185,11 @@
 
 // wait queues a request for the next view of the state.
 func (c *Core) wait(a *ask) {
-	if !c.synced || c.stateLost() && a.tries == 0 || len(c.desk.waiting) >= maxWaiting {
+	if !c.synced || c.stateLost() && a.tries == 0 || len(c.requests.waiting) >= maxWaiting {
 		c.refuse(a)
 		return
 	}
-	c.desk.waiting = append(c.desk.waiting, a)
+	c.requests.waiting = append(c.requests.waiting, a)
 	c.viewNow()
 }
 
@@ -199,7 +199,7 @@
 }
 
 func (c *Core) viewNow() {
-	d := &c.desk
+	d := &c.requests
 	if d.inView || len(d.waiting) == 0 || !c.synced || c.now-d.viewAt < c.viewGap() {
 		return
 	}
@@ -209,7 +209,7 @@
 }
 
 func (c *Core) onView(ok bool) {
-	d := &c.desk
+	d := &c.requests
 	if !d.inView {
 		return
 	}
@@ -274,16 +274,16 @@
 
 // write queues a submission or cancellation for the state service.
 func (c *Core) write(a *ask) {
-	if len(c.desk.writes) >= maxWaiting || c.stateLost() && a.tries == 0 {
+	if len(c.requests.writes) >= maxWaiting || c.stateLost() && a.tries == 0 {
 		c.refuse(a)
 		return
 	}
-	c.desk.writes = append(c.desk.writes, a)
+	c.requests.writes = append(c.requests.writes, a)
 	c.writeNow()
 }
 
 func (c *Core) writeNow() {
-	d := &c.desk
+	d := &c.requests
 	c.budget.refill(c.now, c.writeRate())
 	for len(d.writes) > 0 {
 		a := d.writes[0]
@@ -292,7 +292,7 @@
 			c.refuse(a)
 			continue
 		}
-		if d.follow(a) {
+		if d.coalesce(a) {
 			d.writes = d.writes[1:]
 			continue
 		}
@@ -325,9 +325,9 @@
 		c.wait(a)
 		return
 	}
-	c.desk.under[a.id] = nil
+	c.requests.inFlight[a.id] = nil
 	c.multi([]Cond{{job, 0}, {endPrefix + a.id, 0}}, []Write{{Key: job, Value: value}}, func(m Committed) {
-		defer c.followed(a.id)
+		defer c.resumeCoalesced(a.id)
 		switch m.Status {
 		case 200:
 			c.emit(Reply{Req: a.req, Status: 201, Job: &JobState{ID: a.id, State: Queued}})
@@ -356,7 +356,7 @@
 		c.wait(a) // the job's version may have changed
 		return
 	}
-	c.desk.writes = append(c.desk.writes, a)
+	c.requests.writes = append(c.requests.writes, a)
 }
 
 func (c *Core) cancel(a *ask) {
@@ -367,12 +367,12 @@
 	}
 	e := c.end(ledger.Cancelled, j)
 	stamp := j.Stamp
-	c.desk.under[a.id] = nil
+	c.requests.inFlight[a.id] = nil
 	c.multi([]Cond{{jobPrefix + a.id, stamp}, {endPrefix + a.id, 0}}, []Write{
 		{Key: endPrefix + a.id, Value: encode(e)},
 		{Key: jobPrefix + a.id, Value: c.overRecord(j, ledger.Cancelled)},
 	}, func(m Committed) {
-		defer c.followed(a.id)
+		defer c.resumeCoalesced(a.id)
 		switch m.Status {
 		case 200:
 			if j.Stamp == stamp {
@@ -436,8 +436,8 @@
 	return s
 }
 
-func (c *Core) deskTick() {
-	d := &c.desk
+func (c *Core) requestsTick() {
+	d := &c.requests
 	if !c.synced && len(d.waiting) > 0 {
 		for _, a := range d.waiting {
 			c.refuse(a)
