--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -251,7 +251,7 @@
 		r.bad(f+".kind", "%q is none of %v", x.GetKind(), world.KindNames())
 	}
 	w := world.Fault{At: r.secs(f+".at_s", x.AtS, 0), For: r.secs(f+".for_s", x.ForS, 0), Kind: x.GetKind(), Hosts: x.Hosts, To: x.To,
-		Count: r.count(f+".count", x.Count, 0, 0, 100_000), Share: r.num(f+".share", x.Share, 0, 0, 1), Factor: r.num(f+".factor", x.Factor, 0, 0, 1e4), AtOnce: x.GetAtOnce(), ForNext: x.GetForNext(), Cutting: world.Cutting{Reset: x.GetResets(), Refuse: x.GetRefuses(), OneWay: x.GetOneWay()}}
+		Count: r.count(f+".count", x.Count, 0, 0, 100_000), Share: r.num(f+".share", x.Share, 0, 0, 1), Factor: r.num(f+".factor", x.Factor, 0, 0, 1e4), Class: x.GetClass(), AtOnce: x.GetAtOnce(), ForNext: x.GetForNext(), Cutting: world.Cutting{Reset: x.GetResets(), Refuse: x.GetRefuses(), OneWay: x.GetOneWay()}}
 	if l := x.GetLose(); l != nil {
 		w.Lose = &world.Lose{Prefix: l.GetPrefix(), Skip: r.count(f+".lose.skip", l.Skip, 0, 0, 1e6), How: l.GetHow(), Late: r.secs(f+".lose.late_s", l.LateS, 0)}
 	}
--- a/internal/emulator/troubles/later.go
+++ b/internal/emulator/troubles/later.go
@@ -44,7 +44,7 @@
 			{At: 3 * second, Kind: "crash", Hosts: n[:1]}, {At: 12 * second, Kind: "machine_die", Count: 2}, {At: 15 * second, Kind: "crash", Hosts: []string{"all"}}, {At: 25 * second, Kind: "machine_die", Count: 2}, {At: 26_500_000, Kind: "crash", Hosts: n[1:2]}}
 	}},
 	{name: "a zone is cut off for longer than a lease", met: metLease, begin: func([]string) []world.Fault {
-		return []world.Fault{{Kind: "cut", Hosts: []string{"zone:a"}, To: []string{"zone:b", "services", "users"}, For: 24 * second}, {At: 4 * second, Kind: "cancel_now", Count: 4}}
+		return []world.Fault{{Kind: "cut", Hosts: []string{"zone:a"}, To: []string{"zone:b", "services", "users"}, For: 34 * second}, {At: 4 * second, Kind: "cancel_now", Count: 4}}
 	}},
 	{name: "leaders change ten times, also in an outage", met: metLeader, least: 6, times: 10, every: 4200 * second / 1000, again: func(n []string, i int) []world.Fault {
 		l := []world.Fault{{Kind: "crash", Hosts: n[:1], For: second}}
@@ -106,7 +106,7 @@
 			}
 		}
 	}, begin: func([]string) []world.Fault {
-		return []world.Fault{{At: 2 * second, Kind: "machine_die", Share: 0.15}, {At: 14 * second, Kind: "machine_hang", Share: 0.15, For: 20 * second}, {At: 26 * second, Kind: "machine_die", Share: 0.15}}
+		return []world.Fault{{At: 2 * second, Kind: "machine_die", Count: 1, Class: "bound"}, {At: 14 * second, Kind: "machine_hang", Count: 1, Class: "bound", For: 20 * second}, {At: 26 * second, Kind: "machine_die", Count: 1, Class: "bound"}}
 	}},
 }
 
--- a/internal/emulator/troubles/troubles.go
+++ b/internal/emulator/troubles/troubles.go
@@ -351,7 +351,7 @@
 	r.want = map[string]int{}
 	for _, t := range c.troubles {
 		r.scarce = r.scarce || t.scarce
-		if t.met != "" && len(c.troubles) == 1 { // one may keep another from being met
+		if t.met != "" && len(c.troubles) == 1 && c.with.name == "" { // one may keep another from being met
 			r.want[t.met] = max(t.least, 1)
 		}
 	}
--- a/internal/emulator/world/faults.go
+++ b/internal/emulator/world/faults.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
 )
 
 // Fault is something that happens at At and, where it lasts, ends after For.
@@ -21,6 +22,9 @@
 	// share of machines or of capacity.
 	Count int
 	Share float64
+	// Class, if it is set, has those machines chosen first that have a task of
+	// that class of jobs.
+	Class string
 	// Factor is how many times as slow something is.
 	Factor float64
 	// AtOnce: late_writes are carried out at once, and only their answers are
@@ -260,6 +264,15 @@
 			return l
 		}
 		w.rng.Shuffle(len(up), func(i, k int) { up[i], up[k] = up[k], up[i] })
+		if f.Class != "" {
+			without := func(m *machine) int {
+				if slices.ContainsFunc(m.tasks, func(t *task) bool { return t.job0().Class == f.Class && t.state != wire.Ended }) {
+					return 0
+				}
+				return 1
+			}
+			slices.SortStableFunc(up, func(a, b *machine) int { return without(a) - without(b) })
+		}
 		n := f.Count
 		if n == 0 {
 			n = int(float64(len(up)) * f.Share)
