What is to stop on a machine that reaches no controller is stopped there directly, by new leaders too

Now the address comes from the cloud's list, a silent machine with something to stop is asked, and what it lists is stopped by the session that it names. An answer proves nothing else.

--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -610,7 +610,7 @@
 func (c *Core) direct(j *ledger.Job, i int) {
 	t := j.Task(i)
 	m := c.lead.fleet.Get(t.Machine)
-	if m == nil || m.Addr == "" || !t.Sent || !c.sure() && j.Over == "" && t.Stop != stopSweep {
+	if m == nil || m.Addr == "" || m.Session == 0 || !c.mayStop(j, t) {
 		return
 	}
 	c.lead.directs[m.Name] = append(c.lead.directs[m.Name], Order{Op: "stop", Task: ledger.TaskName(j.ID, i), Attempt: t.Attempt, Grace: t.Grace})
--- a/internal/core/hearing.go
+++ b/internal/core/hearing.go
@@ -178,6 +178,7 @@
 	if r == nil || r.Machine != m.Name {
 		return
 	}
+	c.stopListed(m, r)
 	if m.Answer(p.Sent, r.Session, r.Seq) {
 		// Since when is not known: what was started after that is still there.
 		c.log.Info("a machine has begun anew", "machine", m.Name, "tasks", len(m.Placed))
--- /dev/null
+++ b/internal/core/mute.go
@@ -0,0 +1,70 @@
+package core
+
+import (
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/core/fleet"
+	"github.com/zinclb/zinclb/internal/core/ledger"
+)
+
+// A machine may reach no controller while direct commands reach it: then its reports
+// bring it no stops, and a leader that has begun since does not know its session, nor
+// its address but from the cloud's list. What is to stop there would go on until the
+// machine's lease has run out. So a silent machine with something to stop is asked for
+// a report, and what that lists is stopped by the session that it names. An answer
+// proves nothing else here: what it lacks may still come to be.
+
+// muteAsks bounds the silent machines that are asked in a tick.
+const muteAsks = 8
+
+// silentNow says that a machine's reports have not come for more than one interval.
+func (c *Core) silentNow(m *fleet.Machine) bool {
+	return m.Heard == 0 || c.now-m.Heard > config.Secs(c.set.Workers.ReportS)*3/2
+}
+
+// muteTick asks silent machines on which something is to stop.
+func (c *Core) muteTick() {
+	asked := 0
+	for _, m := range c.lead.fleet.All() {
+		if asked < muteAsks && m.Addr != "" && len(m.Placed) > 0 && c.silentNow(m) && c.hasStops(m) && m.Ask(c.now) {
+			asked++
+			c.emit(Probe{Machine: m.Name, Addr: m.Addr})
+		}
+	}
+}
+
+func (c *Core) hasStops(m *fleet.Machine) bool {
+	for ref := range m.Placed {
+		if c.mayStop(ref.Job, ref.Job.Task(ref.Index)) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayStop says whether a task is to be stopped, and this controller may say so: a
+// job that is over stays so, whoever leads by now.
+func (c *Core) mayStop(j *ledger.Job, t *ledger.Task) bool {
+	return t.Stop != "" && t.Sent && (c.sure() || j.Over != "" || t.Stop == stopSweep)
+}
+
+// stopListed stops what a silent machine's answer lists and is to stop.
+func (c *Core) stopListed(m *fleet.Machine, r *Report) {
+	if !c.silentNow(m) {
+		return
+	}
+	var orders []Order
+	for k := range r.Tasks {
+		tr := &r.Tasks[k]
+		id, i, err := ledger.SplitTask(tr.Name)
+		j := c.jobs[id]
+		if err != nil || j == nil || tr.State == "exited" {
+			continue
+		}
+		if t := j.Task(i); t != nil && t.Machine == m.Name && uint64(t.Attempt) == tr.Attempt && c.mayStop(j, t) && len(orders) < directMost {
+			orders = append(orders, Order{Op: "stop", Task: tr.Name, Attempt: t.Attempt, Grace: t.Grace})
+		}
+	}
+	if len(orders) > 0 {
+		c.emit(Direct{Addr: m.Addr, Token: c.lead.token, Session: r.Session, Orders: orders})
+	}
+}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -507,6 +507,7 @@
 		l.sweptAt = c.now
 		c.silentTick()
 		c.deafTick()
+		c.muteTick()
 		c.cloudTick()
 		c.logTick()
 	}
--- a/internal/core/proof_test.go
+++ b/internal/core/proof_test.go
@@ -136,6 +136,22 @@
 		do   func(r *rig)
 		want string
 	}{
+		// A report from before its worker knew the token: an earlier leader's order
+		// may still be taken from an answer that is on its way.
+		{"to be stopped, and absent in a report that does not know the token", func(r *rig) {
+			r.c.stop(r.c.jobs["j"], 0, stopPreempt, 0)
+			r.beat(5, 1)
+		}, "m.3"},
+		{"to be stopped, and absent in one that does", func(r *rig) {
+			r.c.stop(r.c.jobs["j"], 0, stopPreempt, 0)
+			r.beat(5, 1)
+			r.beat(r.token, 1)
+			r.tick(second)
+		}, "m.4"},
+		{"shown, then absent in a report that does not know the token", func(r *rig) {
+			r.beat(5, 1, running(3))
+			r.beat(5, 1)
+		}, "m.3"},
 		{"nothing heard, less than hold and lease", func(r *rig) { r.tick(hold + 15*second) }, "m.3"},
 		{"nothing heard, hold and lease over", func(r *rig) { r.tick(hold + 18*second) }, ".3"},
 		{"absent in a report that does not know the token: run is repeated", func(r *rig) {
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -143,6 +143,9 @@
 		x := &m.List[i]
 		listed[x.Name] = true
 		fm := c.lead.fleet.Get(x.Name)
+		if fm != nil && fm.Addr == "" {
+			fm.Addr = x.Addr // nothing of it has come, and it may have to be told
+		}
 		mk := market{x.Type, x.Zone, x.Spot}
 		switch {
 		case x.Status == "failed":
