On mute machines only tasks that nobody wants any more are stopped

The commit that stops them by direct commands also stopped work that was to make room, which nobody can use before the machine is heard. TestMute's case of a preempted task asserted the order and now asserts that there is none.

--- a/internal/core/mute.go
+++ b/internal/core/mute.go
@@ -34,13 +34,17 @@
 
 func (c *Core) hasStops(m *fleet.Machine) bool {
 	for ref := range m.Placed {
-		if c.mayStop(ref.Job, ref.Job.Task(ref.Index)) {
+		if t := ref.Job.Task(ref.Index); c.mayStop(ref.Job, t) && forGood(ref.Job, t) {
 			return true
 		}
 	}
 	return false
 }
 
+// forGood says whether nobody wants a task any more. One that only makes room, or is
+// to go elsewhere, goes on where it is: nobody hears when the room is there.
+func forGood(j *ledger.Job, t *ledger.Task) bool { return j.Over != "" || t.Stop == stopSweep }
+
 // mayStop says whether a task is to be stopped, and this controller may say so: a
 // job that is over stays so, whoever leads by now.
 func (c *Core) mayStop(j *ledger.Job, t *ledger.Task) bool {
@@ -60,7 +64,7 @@
 		if err != nil || j == nil || tr.State == "exited" {
 			continue
 		}
-		if t := j.Task(i); t != nil && t.Machine == m.Name && uint64(t.Attempt) == tr.Attempt && c.mayStop(j, t) && len(orders) < directMost {
+		if t := j.Task(i); t != nil && t.Machine == m.Name && uint64(t.Attempt) == tr.Attempt && c.mayStop(j, t) && forGood(j, t) && len(orders) < directMost {
 			orders = append(orders, Order{Op: "stop", Task: tr.Name, Attempt: t.Attempt, Grace: t.Grace})
 		}
 	}
