--- a/internal/emulator/fake/fake.go
+++ b/internal/emulator/fake/fake.go
@@ -170,6 +170,12 @@
 	return err
 }
 
+// Deliver lets the copies of reports that are kept for the next leader arrive now.
+func (c *Cluster) Deliver() {
+	c.World.Deliver()
+	c.step(nil)
+}
+
 // LeaderFirst are the controllers' names, the leader's first.
 func (c *Cluster) LeaderFirst() []string {
 	names := make([]string, c.Config.Params.Size)
--- a/internal/emulator/fake/node.go
+++ b/internal/emulator/fake/node.go
@@ -73,6 +73,12 @@
 			return nil, &core.Reply{Status: 400}
 		}
 		return func(req uint64) any { s.Req = req; return s }, nil
+	case wire.Raw:
+		s, err := api.DecodeSubmission(q.Body)
+		if err != nil {
+			return nil, &core.Reply{Status: 400}
+		}
+		return func(req uint64) any { s.Req = req; return s }, nil
 	case wire.Sweep:
 		s, err := api.DecodeSweep([]byte(q.Text))
 		if err != nil {
@@ -132,7 +138,7 @@
 			a.Orders = append(a.Orders, order(o))
 		}
 		return a
-	case *wire.Job, wire.Poll, wire.Withdraw, wire.Sweep, wire.SweepPoll, wire.SweepCancel:
+	case *wire.Job, wire.Raw, wire.Poll, wire.Withdraw, wire.Sweep, wire.SweepPoll, wire.SweepCancel:
 		switch {
 		case r.Job != nil:
 			return wire.JobAnswer{ID: r.Job.ID, State: api.State(r.Job.State), Done: r.Job.Done, Running: r.Job.Running}
--- a/internal/emulator/history/history.go
+++ b/internal/emulator/history/history.go
@@ -20,6 +20,12 @@
 	Told Kind = "told"
 	// Up is a machine that begins to report, with Type, Zone and Spot.
 	Up Kind = "up"
+	// Unfit: the submission of Call can't run or lacks a field, Why says which.
+	Unfit Kind = "unfit"
+	// Given: a task has been given to a machine, and takes room there until it
+	// has left, also while its image is fetched; Freed: it has, in that state.
+	Given Kind = "given"
+	Freed Kind = "freed"
 	// Entered: a task has its image and is on its machine. Started: it runs
 	// (a gang: all of its tasks do). Completed: its work is done. Left: it is
 	// on the machine no more, Why says for what reason.
@@ -32,6 +38,9 @@
 	// Fault is a fault that begins or ends, Node a controller's start or end.
 	Fault Kind = "fault"
 	Node  Kind = "node"
+	// Met is a moment that a fault brings about again and again, Why says which:
+	// it shows that the meeting that a test is about took place.
+	Met Kind = "met"
 	// Late is a request to the state service that gets no answer and is executed
 	// after newer ones.
 	Late Kind = "late"
@@ -39,6 +48,19 @@
 	Paid Kind = "paid"
 )
 
+// What is met.
+const (
+	MetCopy    = "a copy kept for the next leader"
+	MetLook    = "a close look"
+	MetMute    = "a report that reaches no controller"
+	MetCallOff = "a job called off"
+	MetHang    = "a machine of a job called off hangs"
+	MetAtEnd   = "called off at its end"
+	MetOdd     = "a submission that has to be refused"
+	MetLost    = "only the answer lost"
+	MetQuick   = "up within two seconds"
+)
+
 // Ops of users' requests.
 const (
 	Submit   = "submit"
@@ -75,6 +97,9 @@
 	// with it.
 	Sweeps map[string][]string
 	Teams  map[string]Limits
+	// Types of machines by name; without them nobody knows whether a job that
+	// waits could run.
+	Types map[string]wire.MachineType
 	// Cancel is how long tasks of a cancelled job may stay, in microseconds.
 	Cancel int64
 }
--- a/internal/emulator/history/measure.go
+++ b/internal/emulator/history/measure.go
@@ -23,6 +23,7 @@
 	starts                map[int]int64
 	left                  int
 	cancelled             bool
+	told                  int64 // when its user was first told that it is
 }
 
 // Measure says how well a history went, as numbers by name. Times are seconds;
@@ -56,6 +57,10 @@
 			j.cancelled = true
 		case e.Kind == Told && e.Op == Submit && j.accepted == 0 && (e.Status == 200 || e.Status == 201):
 			j.accepted = e.At
+		case e.Kind == Told && e.State == wire.Withdrawn && j.told == 0:
+			j.told = e.At
+		case e.Kind == Entered && j.told != 0:
+			out[StartsAfter]++
 		case e.Kind == Started:
 			if j.starts[e.Task] == 0 {
 				j.starts[e.Task] = e.At
@@ -202,6 +207,10 @@
 	LargestLeast = "largest_least"
 )
 
+// StartsAfter is how many tasks entered a machine after users were told that their
+// job is cancelled.
+const StartsAfter = "starts_after_cancellation"
+
 // begunWithin is how long even a class's largest jobs may wait.
 const begunWithin = 240_000_000
 
--- a/internal/emulator/sockets/serve.go
+++ b/internal/emulator/sockets/serve.go
@@ -246,6 +246,8 @@
 	case *wire.Job:
 		encode(q)
 		path = "/work"
+	case wire.Raw:
+		method, body, path = "POST", q.Body, "/work"
 	case wire.Poll:
 		path = "/work/" + q.ID
 	case wire.Withdraw:
--- a/internal/emulator/troubles/troubles.go
+++ b/internal/emulator/troubles/troubles.go
@@ -9,9 +9,11 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
 	"strings"
 
 	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/core"
 	"github.com/zinclb/zinclb/internal/emulator/fake"
 	"github.com/zinclb/zinclb/internal/emulator/history"
 	"github.com/zinclb/zinclb/internal/emulator/wire"
@@ -25,6 +27,14 @@
 type trouble struct {
 	name  string
 	begin func(nodes []string) []world.Fault
+	// load changes the deployment or adds to what comes, if it is set.
+	load func(*day)
+	// scarce: there is more work than room, so that not all of it is served.
+	scarce bool
+	// outage: the state service is down for almost all of it.
+	outage bool
+	// met is what the trouble has to have brought about.
+	met string
 }
 
 // lasts is how long a trouble goes on, longer than two leases.
@@ -46,87 +56,87 @@
 	return []world.Fault{{Kind: "cut", For: lasts, Hosts: []string{node}, To: []string{world.StateHost, "controllers"}, Cutting: how}}
 }
 
-var all = []trouble{
-	{"a third of the machines is deaf, orders held", func([]string) []world.Fault {
+var first = []trouble{
+	{name: "a third of the machines is deaf, orders held", begin: func([]string) []world.Fault {
 		return []world.Fault{{Kind: "machine_deaf", Share: 0.34, For: lasts}}
 	}},
-	{"a third of the machines is deaf, orders broken", func([]string) []world.Fault {
+	{name: "a third of the machines is deaf, orders broken", begin: func([]string) []world.Fault {
 		return []world.Fault{{Kind: "machine_deaf", Share: 0.34, For: lasts, Cutting: world.Cutting{Reset: true}}}
 	}},
-	{"a third of the machines is deaf to the leader", func(n []string) []world.Fault {
+	{name: "a third of the machines is deaf to the leader", begin: func(n []string) []world.Fault {
 		return []world.Fault{{Kind: "cut", For: lasts, Hosts: n[:1], To: []string{"workers:a"}, Cutting: world.Cutting{OneWay: true}}}
 	}},
-	{"copies of reports", func([]string) []world.Fault {
+	{name: "copies of reports", begin: func([]string) []world.Fault {
 		return []world.Fault{{Kind: "report_copies", Share: 0.5, Factor: 3, For: lasts}}
 	}},
-	{"the leader has only its workers", func(n []string) []world.Fault { return apart(n[0], world.Cutting{}) }},
-	{"another has only its workers", func(n []string) []world.Fault { return apart(n[1], world.Cutting{Reset: true}) }},
-	{"machines are back at once", func([]string) []world.Fault {
+	{name: "the leader has only its workers", begin: func(n []string) []world.Fault { return apart(n[0], world.Cutting{}) }},
+	{name: "another has only its workers", begin: func(n []string) []world.Fault { return apart(n[1], world.Cutting{Reset: true}) }},
+	{name: "machines are back at once", begin: func([]string) []world.Fault {
 		return []world.Fault{{Kind: "machine_back", Share: 0.25, For: 200_000}, {At: 9 * second, Kind: "machine_back", Share: 0.25, For: 50_000}}
 	}},
-	{"machines are back at once and count anew", func([]string) []world.Fault {
+	{name: "machines are back at once and count anew", begin: func([]string) []world.Fault {
 		return []world.Fault{{Kind: "machine_anew", Share: 0.25, For: 200_000}, {At: 9 * second, Kind: "machine_anew", Share: 0.25, For: second}}
 	}},
-	{"the leader is back at once", func(n []string) []world.Fault { return again(1, n[0]) }},
-	{"the leader is back at once, five times", func(n []string) []world.Fault { return again(5, n[0]) }},
-	{"two are back at once, twice", func(n []string) []world.Fault { return again(2, n[0], n[1]) }},
-	{"writes are executed late", func([]string) []world.Fault {
+	{name: "the leader is back at once", begin: func(n []string) []world.Fault { return again(1, n[0]) }},
+	{name: "the leader is back at once, five times", begin: func(n []string) []world.Fault { return again(5, n[0]) }},
+	{name: "two are back at once, twice", begin: func(n []string) []world.Fault { return again(2, n[0], n[1]) }},
+	{name: "writes are executed late", begin: func([]string) []world.Fault {
 		return []world.Fault{{Kind: "late_writes", Share: 0.3, For: lasts}}
 	}},
-	{"renewals and dropped leases are executed late", func([]string) []world.Fault {
+	{name: "renewals and dropped leases are executed late", begin: func([]string) []world.Fault {
 		return []world.Fault{{Kind: "late_leases", Share: 0.3, For: lasts}, {Kind: "late_writes", Share: 0.1, For: lasts}}
 	}},
-	{"the leader is refused, and then all", func(n []string) []world.Fault {
+	{name: "the leader is refused, and then all", begin: func(n []string) []world.Fault {
 		return []world.Fault{{Kind: "state_refuse", Hosts: n[:1], For: 6 * second}, {At: 2 * second, Kind: "state_outage", For: 20 * second}}
 	}},
-	{"the state service is slow", func([]string) []world.Fault {
+	{name: "the state service is slow", begin: func([]string) []world.Fault {
 		return []world.Fault{{Kind: "state_slow", Factor: 100, For: lasts}}
 	}},
-	{"a third of the machines stands still, again and again", func([]string) (l []world.Fault) {
+	{name: "a third of the machines stands still, again and again", begin: func([]string) (l []world.Fault) {
 		for i := range int64(5) {
 			l = append(l, world.Fault{At: i * 7 * second, Kind: "machine_hang", Share: 0.34, For: 4*second + i*second/2})
 		}
 		return l
 	}},
-	{"a third of the machines can't be reached, and the leader ends", func(n []string) []world.Fault {
+	{name: "a third of the machines can't be reached, and the leader ends", begin: func(n []string) []world.Fault {
 		return []world.Fault{{Kind: "machine_silent", Share: 0.34, For: 12 * second}, {At: second, Kind: "crash", Hosts: n[:1]},
 			{At: 24 * second, Kind: "machine_silent", Share: 0.34, For: 12 * second}, {At: 25 * second, Kind: "crash", Hosts: n[:2]}}
 	}},
-	{"a third of the machines is deaf, and the leader ends", func(n []string) []world.Fault {
+	{name: "a third of the machines is deaf, and the leader ends", begin: func(n []string) []world.Fault {
 		return []world.Fault{{Kind: "machine_deaf", Share: 0.34, For: lasts}, {At: second, Kind: "crash", Hosts: n[:1]}}
 	}},
-	{"leading is handed over and back", func(n []string) (l []world.Fault) {
+	{name: "leading is handed over and back", begin: func(n []string) (l []world.Fault) {
 		for i := range int64(4) {
 			l = append(l, world.Fault{At: i * 9 * second, Kind: "cut", Hosts: n[i%2 : i%2+1], For: 8 * second})
 		}
 		return l
 	}},
-	{"leading is handed over and back within seconds", func(n []string) (l []world.Fault) {
+	{name: "leading is handed over and back within seconds", begin: func(n []string) (l []world.Fault) {
 		for i := range int64(8) {
 			l = append(l, world.Fault{At: i * 4 * second, Kind: "state_refuse", Hosts: n[i%2 : i%2+1], For: 3800 * second / 1000})
 		}
 		return l
 	}},
-	{"all end, and the first is back at once", func(n []string) []world.Fault {
+	{name: "all end, and the first is back at once", begin: func(n []string) []world.Fault {
 		return []world.Fault{{Kind: "crash", Hosts: n[:1], For: 300_000}, {Kind: "crash", Hosts: n[1:], For: 25 * second}}
 	}},
-	{"all end, and another is back at once", func(n []string) []world.Fault {
+	{name: "all end, and another is back at once", begin: func(n []string) []world.Fault {
 		return []world.Fault{{Kind: "crash", Hosts: n[1:2], For: 50_000}, {Kind: "crash", Hosts: append(n[:1:1], n[2:]...), For: 25 * second}}
 	}},
-	{"all are back at once, five times", func([]string) []world.Fault { return again(5, "all") }},
+	{name: "all are back at once, five times", begin: func([]string) []world.Fault { return again(5, "all") }},
 }
 
 // inside is what else may happen 3 s after the troubles have begun.
 var inside = []trouble{
-	{"", nil},
-	{"a take-over", func(n []string) []world.Fault { return []world.Fault{{Kind: "crash", Hosts: n[:1]}} }},
-	{"a standstill", func(n []string) []world.Fault {
+	{name: ""},
+	{name: "a take-over", begin: func(n []string) []world.Fault { return []world.Fault{{Kind: "crash", Hosts: n[:1]}} }},
+	{name: "a standstill", begin: func(n []string) []world.Fault {
 		return []world.Fault{{Kind: "freeze", Hosts: n[:1], For: 8 * second}}
 	}},
-	{"the state service cut off", func(n []string) []world.Fault {
+	{name: "the state service cut off", begin: func(n []string) []world.Fault {
 		return []world.Fault{{Kind: "cut", Hosts: n[:1], To: []string{world.StateHost}, For: 20 * second}}
 	}},
-	{"a roll", func(n []string) []world.Fault { return []world.Fault{{Kind: "roll", For: 5 * second}} }},
+	{name: "a roll", begin: func(n []string) []world.Fault { return []world.Fault{{Kind: "roll", For: 5 * second}} }},
 }
 
 // Case is a day with one or two troubles.
@@ -149,22 +159,36 @@
 	return s
 }
 
-// All are the cases of a size: each trouble, then each pair, with each of what
-// may happen inside.
+// single says whether it has one of the later troubles and nothing else.
+func (c Case) single() bool {
+	return len(c.troubles) == 1 && c.with.name == "" && slices.ContainsFunc(later, func(t trouble) bool { return t.name == c.troubles[0].name })
+}
+
+// All are the cases of a size: each of the first troubles, then each pair of them,
+// with each of what may happen inside; then the later ones.
 func All(size int) (out []Case) {
 	add := func(l ...trouble) {
 		for _, w := range inside {
 			out = append(out, Case{Size: size, troubles: l, with: w, Seed: uint64(len(out) + 1)})
 		}
 	}
-	for _, t := range all {
+	for _, t := range first {
 		add(t)
 	}
-	for i, a := range all {
-		for _, b := range all[i+1:] {
+	for i, a := range first {
+		for _, b := range first[i+1:] {
 			add(a, b)
 		}
 	}
+	for _, t := range later {
+		add(t)
+	}
+	// Pairs with the later ones have one thing inside each, in turn.
+	for i, a := range later {
+		for _, b := range slices.Concat(first, later[i+1:]) {
+			out = append(out, Case{Size: size, troubles: []trouble{a, b}, with: inside[len(out)%len(inside)], Seed: uint64(len(out) + 1)})
+		}
+	}
 	return out
 }
 
@@ -192,7 +216,8 @@
 // deployment is one of three quarters' load, so that what machines lose can be
 // made up for, with services, gangs, arrays, cancellations and pipelines.
 func deployment(c Case) world.Config {
-	var cfg world.Config
+	d := &day{rng: 7 * c.Seed}
+	cfg := &d.Config
 	p := &cfg.Params
 	p.Size, p.Zones = c.Size, zones
 	p.Teams = []config.Team{{Name: "red"}, {Name: "blue", CPUs: 40, CPUsMax: 80}}
@@ -208,37 +233,53 @@
 		cfg.Capacity = append(cfg.Capacity, world.Capacity{Type: "m", Zone: z, Count: 7})
 	}
 	cfg.Length = begins + lasts + quiet
-	add := func(id, class, team, kind string, at int64, tasks int, cpus float64, run int64) *world.Job {
-		cfg.Jobs = append(cfg.Jobs, world.Job{At: at, Run: run, Spec: wire.Job{ID: id, Class: class, Team: team, Kind: kind, Tasks: tasks, CPUs: cpus, MemGB: 1,
-			Priority: "normal", Image: "im-" + class, ImageGB: 1, EstimateS: float64(run) / 1e6}})
-		return &cfg.Jobs[len(cfg.Jobs)-1]
-	}
 	for i := range 3 {
-		j := add(fmt.Sprintf("serve-%d", i), "service", "red", wire.Service, second, 3, 2, 0)
+		j := d.add(fmt.Sprintf("serve-%d", i), "service", "red", wire.Service, second, 3, 2, 0)
 		j.Spec.Priority, j.Spec.Spread, j.Spec.EstimateS = "production", true, 0
 	}
-	rng := 7 * c.Seed
 	for i, at := 0, 5*second; at < cfg.Length-70*second; i, at = i+1, at+3*second {
-		rng = rng*6364136223846793005 + 1442695040888963407
-		pick := int(rng >> 33)
+		pick := d.pick()
 		switch i % 3 {
 		case 0:
-			j := add(fmt.Sprintf("gang-%02d", i), "gang", "blue", wire.Gang, at, []int{1, 2, 4}[pick%3], 6, 8*second)
+			j := d.add(fmt.Sprintf("gang-%02d", i), "gang", "blue", wire.Gang, at, []int{1, 2, 4}[pick%3], 6, 8*second)
 			j.Spec.CheckpntS, j.Spec.SaveS = 4, 1
 			if pick%5 == 0 {
 				j.Cancel = at + 6*second
 			}
 		case 1:
-			add(fmt.Sprintf("array-%02d", i), "array", "red", wire.Array, at, 2+pick%12, 1, 6*second)
+			d.add(fmt.Sprintf("array-%02d", i), "array", "red", wire.Array, at, 2+pick%12, 1, 6*second)
 		default:
 			first := fmt.Sprintf("stage-%02d", i)
-			add(first, "stage", "red", wire.Array, at, 2, 1, 4*second)
+			d.add(first, "stage", "red", wire.Array, at, 2, 1, 4*second)
 			// Its tasks end far apart, and leaders change in between.
-			add(fmt.Sprintf("uneven-%02d", i), "uneven", "red", wire.Array, at+second, 2+pick%2, 1, 3*second).Apart = 6 * second
-			add(fmt.Sprintf("stage-%02d-b", i), "stage", "red", wire.Array, at, 2, 1, 4*second).Spec.Awaits = []string{first}
+			d.add(fmt.Sprintf("uneven-%02d", i), "uneven", "red", wire.Array, at+second, 2+pick%2, 1, 3*second).Apart = 6 * second
+			d.add(fmt.Sprintf("stage-%02d-b", i), "stage", "red", wire.Array, at, 2, 1, 4*second).Spec.Awaits = []string{first}
+		}
+	}
+	for _, t := range c.troubles {
+		if t.load != nil {
+			t.load(d)
 		}
 	}
-	return cfg
+	return *cfg
+}
+
+// day is a deployment that is made.
+type day struct {
+	world.Config
+	rng uint64
+}
+
+// pick is some number, the next of those that the day's seed has.
+func (d *day) pick() int {
+	d.rng = d.rng*6364136223846793005 + 1442695040888963407
+	return int(d.rng >> 33)
+}
+
+func (d *day) add(id, class, team, kind string, at int64, tasks int, cpus float64, run int64) *world.Job {
+	d.Jobs = append(d.Jobs, world.Job{At: at, Run: run, Spec: wire.Job{ID: id, Class: class, Team: team, Kind: kind, Tasks: tasks, CPUs: cpus, MemGB: 1,
+		Priority: "normal", Image: "im-" + class, ImageGB: 1, EstimateS: float64(run) / 1e6}})
+	return &d.Jobs[len(d.Jobs)-1]
 }
 
 // Result is how a case went.
@@ -252,8 +293,15 @@
 	// Within is the share of the jobs submitted in the midst of the troubles
 	// that were done in time.
 	Within float64
-	// Late is how many requests to the state service were executed late.
+	// Late is how many requests to the state service were executed late, Met how
+	// often each thing was met that the troubles are to bring about.
 	Late int
+	Met  map[string]int
+	// StartsAfter is how many tasks entered a machine after users were told that
+	// their job is cancelled.
+	StartsAfter int
+	scarce      bool
+	want        []string
 }
 
 // Short says what falls short of what there should be, "" if nothing does.
@@ -261,8 +309,11 @@
 	switch {
 	case len(r.Breaches) > 0:
 		return "broken: " + strings.Join(r.Breaches, "; ")
+	case len(r.lacks()) > 0:
+		return fmt.Sprintf("never met: %v", r.lacks())
 	case len(r.Left) > 0:
 		return fmt.Sprintf("not over at the end: %v", r.Left)
+	case r.scarce:
 	case r.Least < least:
 		return fmt.Sprintf("%.2f served of a class or team", r.Least)
 	case r.Within < leastWithin:
@@ -273,12 +324,45 @@
 	return ""
 }
 
+// lacks names what the troubles were to bring about and did not.
+func (r *Result) lacks() (l []string) {
+	for _, w := range r.want {
+		if r.Met[w] == 0 {
+			l = append(l, w)
+		}
+	}
+	return l
+}
+
 // Play plays a case; log gets what controllers write, if it is not nil.
 func Play(c Case, ops config.Operators, log *slog.Logger) (Result, error) {
+	cl, err := run(c, ops, log)
+	if err != nil {
+		return Result{}, fmt.Errorf("%s: %w", c, err)
+	}
+	r := judge(cl)
+	for _, t := range c.troubles {
+		r.scarce = r.scarce || t.scarce
+		if t.met != "" && len(c.troubles) == 1 { // one may keep another from being met
+			r.want = append(r.want, t.met)
+		}
+	}
+	return r, nil
+}
+
+func run(c Case, ops config.Operators, log *slog.Logger) (*fake.Cluster, error) {
 	cfg := deployment(c)
 	var failed error
-
-	cl, err := fake.Run(cfg, fake.Options{Operators: ops, Log: log, Begin: func(cl *fake.Cluster) {
+	var cluster *fake.Cluster
+	begun := func(e history.Event) {
+		// Copies that are kept arrive before the new leader knows that it leads,
+		// as it begins, and after its first reports.
+		if e.Kind == history.Stored && e.Key == core.Prefix+"leader" && e.State == "put" {
+			cluster.After([]int64{1000, 5000, 20_000, 300_000}[c.Seed%4], cluster.Deliver)
+		}
+	}
+	cl, err := fake.Run(cfg, fake.Options{Operators: ops, Log: log, Seen: begun, Begin: func(cl *fake.Cluster) {
+		cluster = cl
 		cl.After(begins, func() {
 			nodes := cl.LeaderFirst()
 			for _, t := range c.troubles {
@@ -294,14 +378,11 @@
 	if err == nil {
 		err = failed
 	}
-	if err != nil {
-		return Result{}, fmt.Errorf("%s: %w", c, err)
-	}
-	return judge(cl), nil
+	return cl, err
 }
 
 func judge(cl *fake.Cluster) Result {
-	r := Result{Least: 1, Largest: 1}
+	r := Result{Least: 1, Largest: 1, Met: map[string]int{}}
 	for _, b := range history.Judge(cl.History, cl.Terms()) {
 		r.Breaches = append(r.Breaches, b.String())
 	}
@@ -315,6 +396,8 @@
 			r.Least = v
 		case name == history.LargestLeast:
 			r.Largest = v
+		case name == history.StartsAfter:
+			r.StartsAfter = int(v)
 		case math.IsNaN(v):
 			r.Breaches = append(r.Breaches, name+" is no number")
 		}
@@ -322,8 +405,11 @@
 	r.Left = cl.World.Unfinished()
 	r.Within = within(cl)
 	for _, e := range cl.History {
-		if e.Kind == history.Late {
+		switch e.Kind {
+		case history.Late:
 			r.Late++
+		case history.Met:
+			r.Met[e.Why]++
 		}
 	}
 	return r
@@ -340,7 +426,10 @@
 		}
 	}
 	for _, e := range cl.History {
-		if e.Kind == history.Completed && e.At <= by[e.Job] {
+		switch {
+		case e.Kind == history.Sent && e.Op == history.Withdraw:
+			delete(left, e.Job)
+		case e.Kind == history.Completed && e.At <= by[e.Job] && left[e.Job] > 0:
 			left[e.Job]--
 		}
 	}
--- a/internal/emulator/wire/wire.go
+++ b/internal/emulator/wire/wire.go
@@ -42,8 +42,10 @@
 	Withdrawn = "withdrawn"
 )
 
-// Users' requests besides a Job, and their answer. Sweep is the text of a sweep.
+// Users' requests besides a Job, and their answer. Sweep is the text of a sweep,
+// Raw the body of a submission that need not be a Job.
 type (
+	Raw         struct{ Body []byte }
 	Poll        struct{ ID string }
 	Withdraw    struct{ ID string }
 	Ready       struct{}
--- a/internal/emulator/world/cloud.go
+++ b/internal/emulator/world/cloud.go
@@ -235,6 +235,9 @@
 	c.used[slot(t.Name, zone, spot)]++
 	c.w.net.add(m.name, zone, workers)
 	c.change(m, "booting")
+	if boot > 0 && boot < 2*second {
+		c.w.met(history.MetQuick)
+	}
 	if boot >= 0 {
 		c.w.after(boot, m.begin)
 	}
--- a/internal/emulator/world/faults.go
+++ b/internal/emulator/world/faults.go
@@ -23,6 +23,9 @@
 	Share float64
 	// Factor is how many times as slow something is.
 	Factor float64
+	// AtOnce: late_writes are carried out at once, and only their answers are
+	// lost. ForNext: report_copies are kept until the next leader has begun.
+	AtOnce, ForNext bool
 	// Cutting is how a cut is made.
 	Cutting
 	Lose *Lose
@@ -40,7 +43,7 @@
 	"state_slow":     "the state service takes Factor times as long",
 	"state_limits":   "the state service's limits fall to those announced",
 	"state_lose":     "a transaction is lost, or its answer",
-	"late_writes":    "Share of the transactions get no answer and are executed 2 to 12 s later",
+	"late_writes":    "Share of the transactions get no answer and are executed 2 to 12 s later, or at once",
 	"late_leases":    "the same of renewals, new leases and dropped ones",
 	"cloud_outage":   "the cloud's interface is down",
 	"cloud_refuse":   "the cloud has no machine to give",
@@ -54,7 +57,12 @@
 	"machine_deaf":   "machines are heard, and no answer or order gets to them",
 	"machine_back":   "machines lose their tasks and are back after For; their reports' numbers go on",
 	"machine_anew":   "machines lose their tasks and are back after For; their reports' numbers begin anew",
-	"report_copies":  "copies of Share of the reports come again, up to Factor leases late",
+	"machine_mute":   "machines reach no controller, while direct commands reach them",
+	"report_copies":  "copies of Share of the reports come again, up to Factor leases late, or to all controllers as the next leader begins",
+	"cancel_now":     "Count jobs that have long to go are cancelled within a fifth of a second; eight of their machines hang for For",
+	"cancel_at_end":  "Share of the jobs that end are cancelled, asked about and submitted again at that moment",
+	"close_looks":    "users ask at all controllers within milliseconds after each acceptance and each end",
+	"odd_requests":   "users repeat submissions, cancel what is done, and send jobs that can't run or lack a field",
 }
 
 // schedule plans a fault.
@@ -172,8 +180,14 @@
 		if f.Kind == "late_leases" {
 			v = &w.state.lateLeases
 		}
+		if f.AtOnce {
+			v = &w.state.lostAnswers
+		}
 		return func() func() { *v = f.Share; return func() { *v = 0 } }, nil
 	case "report_copies":
+		if f.ForNext {
+			return func() func() { w.kept.share = f.Share; return func() { w.kept.share = 0 } }, nil
+		}
 		if f.Factor <= 0 {
 			return nil, fmt.Errorf("factor: must be positive")
 		}
@@ -181,6 +195,14 @@
 			w.copies = copies{f.Share, f.Factor}
 			return func() { w.copies = copies{} }
 		}, nil
+	case "cancel_now":
+		return func() func() { return w.cancelNow(f.Count, f.For > 0) }, nil
+	case "cancel_at_end":
+		return func() func() { w.front.atEnd = f.Share; return func() { w.front.atEnd = 0 } }, nil
+	case "close_looks":
+		return func() func() { w.front.looking = true; return func() { w.front.looking = false } }, nil
+	case "odd_requests":
+		return func() func() { return w.front.oddRequests() }, nil
 	case "cloud_outage":
 		return func() func() { w.cloud.down = true; return func() { w.cloud.down = false } }, nil
 	case "cloud_refuse":
@@ -266,6 +288,8 @@
 		return each(func(m *machine) func() { w.cloud.died(m); return nil }), nil
 	case "machine_hang":
 		return each(func(m *machine) func() { m.hang(); return m.goOn }), nil
+	case "machine_mute":
+		return each(func(m *machine) func() { m.mute = true; return func() { m.mute = false } }), nil
 	case "machine_faulty":
 		return each(func(m *machine) func() { m.faulty = true; return func() { m.faulty = false } }), nil
 	case "machine_back", "machine_anew":
--- a/internal/emulator/world/machine.go
+++ b/internal/emulator/world/machine.go
@@ -31,6 +31,7 @@
 	deleted    bool
 	hanging    bool
 	faulty     bool
+	mute       bool  // it reaches no controller
 	recall     int64 // when the cloud takes it, 0 for never
 	speed      float64
 	drift      float64 // of its clock
@@ -187,12 +188,19 @@
 	next := (m.at + 1) % len(w.nodes)
 	give := func() { finish(next, nextNode) }
 	w.after(m.own(float64(answerMost)/1e6), give)
+	w.keepCopy(r)
+	if m.mute {
+		w.met(history.MetMute)
+		w.after(w.net.delay(m.name, to), give)
+		return
+	}
 	w.net.send(m.name, to, func() {
 		w.ask(m.name, to, r, func(t Told) {
 			if m.hanging {
 				return // it drops the answer once it goes on: it has waited too long
 			}
 			a, _ := t.Body.(wire.BeatAnswer)
+			w.led(a.Token)
 			switch {
 			case over || m.gone || m.life != life:
 			case t.Status == 200:
@@ -347,6 +355,7 @@
 		return
 	}
 	t := &task{m: m, name: o.Task, job: u, index: i, attempt: o.Attempt, state: wire.Fetching}
+	t.record(history.Given, "")
 	m.add(t)
 	m.cache.want(u.spec.Image, u.spec.ImageGB, t)
 }
--- a/internal/emulator/world/state.go
+++ b/internal/emulator/world/state.go
@@ -46,6 +46,9 @@
 	// lateWrites and lateLeases are the shares of transactions, and of what is
 	// done with leases, that get no answer and are executed late.
 	lateWrites, lateLeases float64
+	// lostAnswers is the share of those that are executed at once, and only their
+	// answers are lost.
+	lostAnswers float64
 }
 
 type stored struct {
@@ -118,6 +121,9 @@
 	if s.tarries(req) {
 		lost, late = true, 2*second+s.w.rng.Int64N(10*second)
 		s.w.record(history.Event{Kind: history.Late})
+	} else if _, ok := req.(wire.Multi); ok && s.lostAnswers > 0 && s.w.rng.Float64() < s.lostAnswers {
+		lost = true
+		s.w.met(history.MetLost)
 	}
 	if how := s.fate(req); how != nil {
 		if how.How == "before" {
--- a/internal/emulator/world/task.go
+++ b/internal/emulator/world/task.go
@@ -182,6 +182,7 @@
 	}
 	if t.state == wire.Fetching {
 		t.m.cache.giveUp(t)
+		t.record(history.Freed, why)
 	} else {
 		t.keep()
 		t.record(history.Left, why)
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -169,6 +169,7 @@
 	front  *front
 	gangs  map[gangKey]*gang
 	copies copies
+	kept   kept
 	jobs   map[string]*user
 	sweeps []*sweepUser
 
@@ -255,6 +256,10 @@
 			t.Sweeps[history.SweepJob(s.ID)] = append(t.Sweeps[history.SweepJob(s.ID)], s.Jobs[i].ID)
 		}
 	}
+	t.Types = map[string]wire.MachineType{}
+	for _, x := range c.Types {
+		t.Types[x.Name] = x
+	}
 	for _, m := range c.Params.Teams {
 		t.Teams[m.Name] = history.Limits{CPUs: m.CPUsMax, GPUs: m.GPUsMax}
 	}
@@ -319,6 +324,8 @@
 	}
 }
 
+func (w *World) met(why string) { w.record(history.Event{Kind: history.Met, Why: why}) }
+
 func (w *World) node(name string) *node {
 	if i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == name }); i >= 0 {
 		return w.nodes[i]
