--- /dev/null
+++ b/cmd/zinclb-emulator/scale.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/zinclb/zinclb/internal/emulator/scale"
+	"github.com/zinclb/zinclb/internal/emulator/workerproc"
+)
+
+// workersCommandName is how this program is started as a process with workers.
+const workersCommandName = "run-workers"
+
+// workersCommand runs the workers of a scale run; nobody calls it by hand.
+func workersCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:    workersCommandName,
+		Short:  "Runs workers for a scale run, as it is told on standard input",
+		Hidden: true,
+		Args:   cobra.NoArgs,
+		RunE:   func(*cobra.Command, []string) error { return workerproc.Serve(os.Stdin, os.Stdout) },
+	}
+}
+
+// scaleFlags are those of the command that are no part of a plan.
+type scaleFlags struct {
+	sizes   []int
+	figures string
+	name    string
+}
+
+// scaleCommand plays a large deployment and measures what each role costs.
+func scaleCommand() *cobra.Command {
+	plan := scale.Default(0)
+	o := scale.Options{}
+	fl := scaleFlags{}
+	cmd := &cobra.Command{
+		Use:   "scale --binary target/zinclb",
+		Short: "Plays a large deployment with hollow workers, and measures what each role costs",
+		Long: "Plays a large deployment on this machine: controllers as processes, hollow workers that share processes,\n" +
+			"and some workers in processes of their own. What is not given follows from --workers, as a share of the\n" +
+			"operators' plan. What may be lost once:\n" + losses(),
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := scale.CheckPrograms(o.Binaries); err != nil {
+				return err
+			}
+			plans, err := plansOf(cmd, plan, fl.sizes)
+			if err != nil {
+				return err
+			}
+			return playScale(plans, o, fl)
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&plan.Workers, "workers", 400, "workers, one on each machine")
+	f.IntSliceVar(&fl.sizes, "sizes", nil, "numbers of workers to play one after the other, in place of --workers")
+	f.IntVar(&plan.Accelerators, "accelerators", 0, "accelerators in all")
+	f.IntVar(&plan.Controllers, "controllers", plan.Controllers, "controllers")
+	f.IntVar(&plan.Zones, "zones", plan.Zones, "zones")
+	f.IntVar(&plan.Regions, "regions", plan.Regions, "regions that the zones belong to")
+	f.IntVar(&plan.Teams, "teams", plan.Teams, "teams with limits and guarantees")
+	f.IntVar(&plan.Running, "running", 0, "tasks that run at once")
+	f.IntVar(&plan.Starts, "starts", 0, "starts of tasks a second in the peak minute")
+	f.IntVar(&plan.LargestGang, "largest-gang", plan.LargestGang, "the most tasks of a gang")
+	f.IntVar(&plan.Alone, "alone", plan.Alone, "workers with a process of their own")
+	f.Float64Var(&plan.FaultsTimes, "faults-times", 0, "machines die and restart at the plan's rates, this many times as often; 0: not at all")
+	f.StringSliceVar(&plan.Lose, "lose", nil, "what is lost once: leader, rack, region, zone")
+	f.Float64Var(&plan.StateRPS, "state-rps", plan.StateRPS, "requests a second that the state service takes")
+	f.Float64Var(&plan.StateWrites, "state-writes", plan.StateWrites, "changes a second that it takes")
+	f.Float64Var(&plan.RemoteMS, "remote-ms", plan.RemoteMS, "delay between two regions in ms, one way")
+	f.Uint64Var(&plan.Seed, "seed", plan.Seed, "the seed of load, faults and delays")
+	f.DurationVar(&plan.Length, "length", plan.Length, "how long it plays")
+	f.StringVar(&o.Dir, "dir", "target/scale", "gets settings and logs of controllers")
+	f.IntVar(&o.Port, "port", 7600, "the balancer's port; those of controllers follow it")
+	f.StringSliceVar(&o.Binaries, "binary", nil, "controllers' programs, given out in turn")
+	f.StringSliceVar(&o.Args, "arg", nil, "arguments of controllers before --config")
+	f.StringVar(&fl.figures, "figures", "", "a directory that gets a file of figures for each run")
+	f.StringVar(&fl.name, "name", "", "the beginning of those files' names")
+	return cmd
+}
+
+func losses() string {
+	var b strings.Builder
+	for _, name := range []string{"leader", "rack", "region", "zone"} {
+		fmt.Fprintf(&b, "  %-8s %s\n", name, scale.Losses[name])
+	}
+	return b.String()
+}
+
+// plansOf makes a plan for each size. What no flag sets follows from the size.
+func plansOf(cmd *cobra.Command, given scale.Plan, sizes []int) ([]scale.Plan, error) {
+	if len(sizes) == 0 {
+		sizes = []int{given.Workers}
+	}
+	var plans []scale.Plan
+	for _, n := range sizes {
+		p, usual := given, scale.Default(n)
+		p.Workers = n
+		for flag, v := range map[string]struct{ to, from *int }{
+			"accelerators": {&p.Accelerators, &usual.Accelerators}, "running": {&p.Running, &usual.Running}, "starts": {&p.Starts, &usual.Starts}} {
+			if !cmd.Flags().Changed(flag) {
+				*v.to = *v.from
+			}
+		}
+		if err := p.Check(); err != nil {
+			return nil, err
+		}
+		plans = append(plans, p)
+	}
+	return plans, nil
+}
+
+// playScale plays the plans one after the other. All are checked before the first
+// begins.
+func playScale(plans []scale.Plan, o scale.Options, fl scaleFlags) error {
+	limits, err := scale.MachineLimits()
+	if err != nil {
+		return err
+	}
+	for i := range plans {
+		n := plans[i].Need()
+		fmt.Printf("%d workers: %d processes, about %.0f MB (of %d and %.0f MB that may be used)\n", plans[i].Workers, n.Processes, n.MemoryMB, limits.Processes, limits.MemoryMB)
+		if err := n.Fits(limits); err != nil {
+			return err
+		}
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find this program: %w", err)
+	}
+	o.Workers, o.Sources, o.Out = []string{program, workersCommandName}, sources(), os.Stdout
+	stop := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	dir := o.Dir
+	broken := 0
+	for _, p := range plans {
+		o.Dir = filepath.Join(dir, fmt.Sprint(p.Workers))
+		f, err := scale.Run(p, o, stop)
+		if err != nil {
+			return err
+		}
+		if err := f.Write(os.Stdout); err != nil {
+			return err
+		}
+		broken += len(f.Broken)
+		if fl.figures != "" {
+			path := filepath.Join(fl.figures, fmt.Sprintf("%s%d-workers-%d-controllers-seed-%d.json", fl.name, p.Workers, p.Controllers, p.Seed))
+			if err := f.Save(path); err != nil {
+				return err
+			}
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%d breaches of the rules", broken)
+	}
+	return nil
+}
+
+// sources names the commit that stands here, "" if that can't be told.
+func sources() string {
+	cmd := exec.Command("git", "describe", "--always", "--dirty")
+	cmd.Stderr = io.Discard
+	b, err := cmd.Output()
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(b))
+}
--- /dev/null
+++ b/internal/emulator/scale/figures.go
@@ -0,0 +1,331 @@
+package scale
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/meter"
+	"github.com/zinclb/zinclb/internal/emulator/sockets"
+)
+
+// Figures are what a run has shown.
+type Figures struct {
+	Plan Plan `json:"plan"`
+	// Sources name what was measured: the commit, and more if there is more to say.
+	Sources string `json:"sources"`
+	Cores   int    `json:"cores"`
+	// Limited says why the machine and not the service was the limit; then nothing
+	// else here is a figure.
+	Limited string `json:"limited,omitempty"`
+	// Windows are parts of the run by name.
+	Windows map[string]Window `json:"windows"`
+	// Late is how late the timers of the hollow workers and of the emulator ran.
+	Late         Latency    `json:"late_ms"`
+	Urgent       Starts     `json:"urgent"`
+	Gangs        Starts     `json:"gangs"`
+	Submit       Latency    `json:"submit_ms"`
+	Poll         Latency    `json:"poll_ms"`
+	Takeover     []Takeover `json:"takeover,omitempty"`
+	Broken       []string   `json:"broken,omitempty"`
+	Events       int        `json:"events"`
+	PeakMemoryMB float64    `json:"peak_memory_mb"`
+}
+
+// Latency is a distribution.
+type Latency struct {
+	Median float64 `json:"p50"`
+	P95    float64 `json:"p95"`
+	P99    float64 `json:"p99"`
+	Worst  float64 `json:"worst"`
+	Count  int     `json:"count"`
+}
+
+// Starts is how long jobs of a class waited, in seconds, and the share that began
+// within its aim.
+type Starts struct {
+	Latency
+	Within float64 `json:"within"`
+	Share  float64 `json:"share"`
+}
+
+// Takeover is how long it took after a leader was lost until workers had an answer
+// of the next one, in seconds.
+type Takeover struct {
+	Latency
+	Workers int `json:"workers"`
+}
+
+// The windows.
+const (
+	WindowPeak   = "peak"
+	WindowSteady = "steady"
+)
+
+// Window is what happened in a part of the run. All rates are a second.
+type Window struct {
+	Seconds float64 `json:"seconds"`
+	Starts  float64 `json:"starts"`
+	// Running is how many tasks ran at the end.
+	Running int             `json:"running"`
+	Workers int             `json:"workers"`
+	Roles   map[string]Role `json:"roles"`
+	// WorkerBytes are bytes a second of hollow workers, both ways.
+	WorkerBytes Latency `json:"worker_bytes"`
+}
+
+// The roles.
+const (
+	RoleLeader   = "leader"
+	RoleStandBy  = "stand-by"
+	RoleBusiest  = "busiest stand-by"
+	RoleHollow   = "hollow worker"
+	RoleAlone    = "worker alone"
+	RoleState    = "state service"
+	RoleCloud    = "cloud"
+	RoleEmulator = "emulator"
+)
+
+// Role is what one process of a role, or one worker, used in a window.
+type Role struct {
+	Count int `json:"count"`
+	// CPU is the share of a core, Memory and Peak are MB.
+	CPU    float64 `json:"cpu"`
+	Memory float64 `json:"memory_mb"`
+	Peak   float64 `json:"peak_mb"`
+	// Kinds are messages by kind.
+	Kinds map[string]Rate `json:"kinds,omitempty"`
+}
+
+// Rate is how much there was of a kind of message a second.
+type Rate struct {
+	Messages float64 `json:"messages"`
+	Refused  float64 `json:"refused,omitempty"`
+	Changes  float64 `json:"changes,omitempty"`
+	BytesIn  float64 `json:"bytes_in"`
+	BytesOut float64 `json:"bytes_out"`
+}
+
+func (r *Rate) add(c meter.Count, seconds float64) {
+	r.Messages += float64(c.Messages) / seconds
+	r.Refused += float64(c.Refused) / seconds
+	r.Changes += float64(c.Changes) / seconds
+	r.BytesIn += float64(c.BytesIn) / seconds
+	r.BytesOut += float64(c.BytesOut) / seconds
+}
+
+// latencyOf is the distribution of some values.
+func latencyOf(values []float64) Latency {
+	if len(values) == 0 {
+		return Latency{}
+	}
+	slices.Sort(values)
+	at := func(q float64) float64 { return values[min(int(q*float64(len(values))), len(values)-1)] }
+	return Latency{at(0.5), at(0.95), at(0.99), values[len(values)-1], len(values)}
+}
+
+// mark is what had been counted and used at a moment.
+type mark struct {
+	at     int64
+	leader string
+	use    map[string]usage
+	counts map[meter.Key]meter.Count
+}
+
+// window is what came between two marks. alone are the machines with processes of
+// their own, machines says which machines are workers of the run.
+func window(from, to mark, controllers []string, alone map[string]bool) Window {
+	w := Window{Seconds: float64(to.at-from.at) / 1e6, Roles: map[string]Role{}}
+	cpu := func(name string) (Role, bool) {
+		a, ok := from.use[name]
+		b, ok2 := to.use[name]
+		return Role{Count: 1, CPU: (b.cpu - a.cpu) / w.Seconds, Memory: b.memory, Peak: b.peak, Kinds: map[string]Rate{}}, ok && ok2
+	}
+	byHost := map[string]map[string]Rate{}
+	for k, c := range to.counts {
+		r := Rate{}
+		r.add(c.Less(from.counts[k]), w.Seconds)
+		if byHost[k.Host] == nil {
+			byHost[k.Host] = map[string]Rate{}
+		}
+		byHost[k.Host][k.Kind] = r
+	}
+	var standBys []Role
+	for _, name := range controllers {
+		r, ok := cpu(name)
+		if !ok {
+			continue
+		}
+		r.Kinds = byHost[name]
+		if name == to.leader {
+			w.Roles[RoleLeader] = r
+		} else {
+			standBys = append(standBys, r)
+		}
+	}
+	if len(standBys) > 0 {
+		w.Roles[RoleStandBy] = mean(standBys)
+		w.Roles[RoleBusiest] = slices.MaxFunc(standBys, func(a, b Role) int { return cmp.Compare(a.CPU, b.CPU) })
+	}
+	if r, ok := cpu(emulator); ok {
+		w.Roles[RoleEmulator] = r
+	}
+	var hollow, single []Role
+	var bytes []float64
+	for host, kinds := range byHost {
+		if slices.Contains(controllers, host) || kinds[sockets.ReportKind].Messages == 0 {
+			continue
+		}
+		if alone[host] {
+			if r, ok := cpu(host); ok {
+				r.Kinds = kinds
+				single = append(single, r)
+			}
+			continue
+		}
+		hollow = append(hollow, Role{Count: 1, Kinds: kinds})
+		bytes = append(bytes, kinds[sockets.ReportKind].BytesIn+kinds[sockets.ReportKind].BytesOut)
+	}
+	w.Workers = len(hollow) + len(single)
+	w.WorkerBytes = latencyOf(bytes)
+	if len(hollow) > 0 {
+		w.Roles[RoleHollow] = mean(hollow)
+	}
+	if len(single) > 0 {
+		w.Roles[RoleAlone] = mean(single)
+	}
+	w.Roles[RoleState] = served(byHost, controllers, "state ")
+	w.Roles[RoleCloud] = served(byHost, controllers, "cloud")
+	return w
+}
+
+// mean is the average of several processes, or workers, of a role.
+func mean(l []Role) Role {
+	out := Role{Count: len(l), Kinds: map[string]Rate{}}
+	n := float64(len(l))
+	for _, r := range l {
+		out.CPU += r.CPU / n
+		out.Memory += r.Memory / n
+		out.Peak = max(out.Peak, r.Peak)
+		for kind, x := range r.Kinds {
+			y := out.Kinds[kind]
+			y.Messages += x.Messages / n
+			y.Refused += x.Refused / n
+			y.Changes += x.Changes / n
+			y.BytesIn += x.BytesIn / n
+			y.BytesOut += x.BytesOut / n
+			out.Kinds[kind] = y
+		}
+	}
+	return out
+}
+
+// served is what a service got of all controllers, of the kinds with a prefix.
+func served(byHost map[string]map[string]Rate, controllers []string, prefix string) Role {
+	out := Role{Count: 1, Kinds: map[string]Rate{}}
+	for _, name := range controllers {
+		for kind, x := range byHost[name] {
+			if len(kind) < len(prefix) || kind[:len(prefix)] != prefix {
+				continue
+			}
+			y := out.Kinds[kind]
+			y.Messages += x.Messages
+			y.Refused += x.Refused
+			y.Changes += x.Changes
+			y.BytesIn += x.BytesOut
+			y.BytesOut += x.BytesIn
+			out.Kinds[kind] = y
+		}
+	}
+	return out
+}
+
+// waits are how long jobs of a class waited from their first submission until all
+// their tasks had begun, in seconds. Cancelled jobs and those that came within the
+// aim before the end are left out; one that has not begun by then waited until it.
+func waits(events []history.Event, terms history.Terms, class string, within float64) Starts {
+	type course struct {
+		first, last int64
+		begun       map[int]bool
+		cancelled   bool
+	}
+	jobs := map[string]*course{}
+	end := int64(0)
+	for _, e := range events {
+		end = max(end, e.At)
+		spec := terms.Jobs[e.Job]
+		if spec == nil || spec.Class != class {
+			continue
+		}
+		j := jobs[e.Job]
+		if j == nil {
+			j = &course{first: e.At, begun: map[int]bool{}}
+			jobs[e.Job] = j
+		}
+		switch {
+		case e.Kind == history.Sent && e.Op == history.Withdraw:
+			j.cancelled = true
+		case e.Kind == history.Started && !j.begun[e.Task]:
+			j.begun[e.Task] = true
+			j.last = e.At
+		}
+	}
+	var values []float64
+	good := 0
+	for id, j := range jobs {
+		if j.cancelled || j.first+int64(within*1e6) > end {
+			continue
+		}
+		if len(j.begun) < terms.Jobs[id].Tasks {
+			j.last = end
+		} else if float64(j.last-j.first)/1e6 <= within {
+			good++
+		}
+		values = append(values, float64(j.last-j.first)/1e6)
+	}
+	s := Starts{Latency: latencyOf(values), Within: within}
+	if len(values) > 0 {
+		s.Share = float64(good) / float64(len(values))
+	}
+	return s
+}
+
+// answers are how long users' requests of a kind took, in ms; those without an
+// answer are left out.
+func answers(events []history.Event, op string) Latency {
+	sent := map[uint64]int64{}
+	var values []float64
+	for _, e := range events {
+		switch {
+		case e.Op != op:
+		case e.Kind == history.Sent:
+			sent[e.Call] = e.At
+		case e.Kind == history.Told && e.Status != 0:
+			if at, ok := sent[e.Call]; ok {
+				values = append(values, float64(e.At-at)/1000)
+			}
+		}
+	}
+	return latencyOf(values)
+}
+
+// rates are how many tasks entered a machine a second in a part of the run, and how
+// many were on one at its end.
+func rates(events []history.Event, from, to int64) (starts float64, running int) {
+	n := 0
+	for _, e := range events {
+		if e.At >= to {
+			break
+		}
+		switch e.Kind {
+		case history.Entered:
+			running++
+			if e.At >= from {
+				n++
+			}
+		case history.Left:
+			running--
+		}
+	}
+	return float64(n) / (float64(to-from) / 1e6), running
+}
--- /dev/null
+++ b/internal/emulator/scale/need.go
@@ -0,0 +1,73 @@
+package scale
+
+import (
+	"fmt"
+
+	"github.com/prometheus/procfs"
+)
+
+// What a run takes of the machine, at most: a share of its memory, and processes.
+const (
+	memoryShare   = 0.5
+	mostProcesses = 300
+)
+
+// What parts of a run hold, in MB, from runs of 400 to 3,200 workers; docs/CAPACITY.md
+// has what was measured.
+const (
+	emulatorMB         = 300
+	emulatorMBAWorker  = 0.5
+	controllerMB       = 40
+	controllerMBAWork  = 0.03
+	workerProcessMB    = 40
+	workerProcessMBAWk = 0.35
+)
+
+// Need is what a run takes.
+type Need struct {
+	Processes int
+	MemoryMB  float64
+}
+
+// Need reckons what the run will take.
+func (p *Plan) Need() Need {
+	workers := float64(p.Workers)
+	return Need{
+		Processes: 1 + p.Controllers + p.Zones + p.Alone,
+		MemoryMB: emulatorMB + emulatorMBAWorker*workers + float64(p.Controllers)*(controllerMB+controllerMBAWork*workers) +
+			float64(p.Zones+p.Alone)*workerProcessMB + workerProcessMBAWk*workers,
+	}
+}
+
+// Limits are what may be taken of this machine.
+type Limits struct {
+	Processes int
+	MemoryMB  float64
+}
+
+// MachineLimits reads the machine's memory.
+func MachineLimits() (Limits, error) {
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return Limits{}, fmt.Errorf("read the machine's memory: %w", err)
+	}
+	m, err := fs.Meminfo()
+	if err != nil {
+		return Limits{}, fmt.Errorf("read the machine's memory: %w", err)
+	}
+	if m.MemTotal == nil {
+		return Limits{}, fmt.Errorf("read the machine's memory: MemTotal is missing")
+	}
+	return Limits{Processes: mostProcesses, MemoryMB: memoryShare * float64(*m.MemTotal) / 1024}, nil
+}
+
+// Fits refuses what would take too much, and says which limit.
+func (n Need) Fits(l Limits) error {
+	if n.Processes > l.Processes {
+		return fmt.Errorf("controllers, zones, alone: the run needs %d processes, and %d are allowed", n.Processes, l.Processes)
+	}
+	if n.MemoryMB > l.MemoryMB {
+		return fmt.Errorf("workers: the run needs about %.0f MB, and half of the machine's memory is %.0f MB", n.MemoryMB, l.MemoryMB)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/scale/plan.go
@@ -0,0 +1,354 @@
+// Package scale plays a large deployment on one machine: real controllers, one
+// process each, the emulated state service, cloud and users, hollow workers that
+// share processes, and a few workers in processes of their own. It measures what
+// each role costs and judges the rules over all that happened.
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// Plan is what is to be played.
+type Plan struct {
+	Workers      int `json:"workers"`
+	Accelerators int `json:"accelerators"`
+	Controllers  int `json:"controllers"`
+	Zones        int `json:"zones"`
+	Regions      int `json:"regions"`
+	Teams        int `json:"teams"`
+	// Running is how many tasks run at once, Starts how many start each second
+	// in the peak minute.
+	Running int `json:"running"`
+	Starts  int `json:"starts"`
+	// LargestGang is the most tasks of a gang.
+	LargestGang int `json:"largest_gang"`
+	// Alone is how many workers have a process of their own.
+	Alone int `json:"alone"`
+	// FaultsTimes speeds the plan's faults of machines up; 0 is none.
+	FaultsTimes float64 `json:"faults_times"`
+	// Lose are what is lost once in the run, see Losses.
+	Lose []string `json:"lose"`
+	// StateRPS and StateWrites are the state service's limits a second.
+	StateRPS    float64       `json:"state_rps"`
+	StateWrites float64       `json:"state_writes"`
+	RemoteMS    float64       `json:"remote_ms"`
+	Seed        uint64        `json:"seed"`
+	Length      time.Duration `json:"length"`
+}
+
+// The operators' plan for two years on, which other sizes are shares of.
+const (
+	planWorkers      = 3200
+	planAccelerators = 4900
+	planRunning      = 18_000
+	planStarts       = 750
+	// planDeaths and planRestarts are of machines a day.
+	planDeaths   = 53
+	planRestarts = 230
+)
+
+// Default is the operators' plan at a number of workers.
+func Default(workers int) Plan {
+	share := func(n int) int { return max(1, int(math.Round(float64(n)*float64(workers)/planWorkers))) }
+	return Plan{Workers: workers, Accelerators: share(planAccelerators), Controllers: 12, Zones: 15, Regions: 4, Teams: 380,
+		Running: share(planRunning), Starts: share(planStarts), LargestGang: 64, Alone: 3, StateRPS: 250, StateWrites: 90, RemoteMS: 8,
+		Seed: 1, Length: 130 * time.Second}
+}
+
+// Losses are what a run can lose once, and what that is.
+var Losses = map[string]string{
+	"leader": "the leader's process ends, 20 s after the peak",
+	"zone":   "a zone is cut off for 20 s, 30 s after the peak",
+	"region": "a region is cut off for 60 s, 30 s after the peak",
+	"rack":   "sixteen machines of a zone die at once, 25 s after the peak",
+}
+
+// The course of a run.
+const (
+	peakFrom = 15 * config.Second
+	peakFor  = 60 * config.Second
+	peakTo   = peakFrom + peakFor
+	// settled is when the load after the peak has become steady.
+	settled = peakTo + 10*config.Second
+	// least is the shortest run in which anything is measured.
+	least = settled + 25*config.Second
+)
+
+// Check names every field that can't be.
+func (p *Plan) Check() error {
+	var errs []error
+	within := func(name string, v, lo, hi float64) {
+		if !(v >= lo && v <= hi) {
+			errs = append(errs, fmt.Errorf("%s: %v is not within %v and %v", name, v, lo, hi))
+		}
+	}
+	within("workers", float64(p.Workers), 1, 10_000)
+	within("accelerators", float64(p.Accelerators), 0, float64(8*p.Workers))
+	within("controllers", float64(p.Controllers), 1, 40)
+	within("zones", float64(p.Zones), 1, 60)
+	within("regions", float64(p.Regions), 1, float64(max(1, p.Zones)))
+	within("teams", float64(p.Teams), 1, 2000)
+	within("running", float64(p.Running), 1, 100_000)
+	within("starts", float64(p.Starts), 1, 5000)
+	within("largest-gang", float64(p.LargestGang), 1, 1000)
+	within("alone", float64(p.Alone), 0, 100)
+	within("faults-times", p.FaultsTimes, 0, 1e6)
+	within("state-rps", p.StateRPS, 1, 1e6)
+	within("state-writes", p.StateWrites, 1, 1e6)
+	within("remote-ms", p.RemoteMS, 0.1, 1000)
+	within("length", p.Length.Seconds(), 5, 3600)
+	for _, l := range p.Lose {
+		if Losses[l] == "" {
+			errs = append(errs, fmt.Errorf("lose: %q is none of leader, rack, region and zone", l))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// The machines of a run.
+const (
+	cpuType       = "cpu16"
+	gpuType       = "gpu4"
+	gpusAMachine  = 4
+	cpusAMachine  = 16.0
+	memAMachine   = 64.0
+	rackMachines  = 16
+	rackZone      = 1
+	lostZone      = 2
+	fetchGBPerS   = 2.0
+	cacheGB       = 60.0
+	bootSeconds   = 20.0
+	spareCapacity = 1.2 // of what is up at the start
+)
+
+// The classes of jobs.
+const (
+	classBatch  = "batch"
+	classTrain  = "train"
+	classGang   = "gang"
+	classUrgent = "urgent"
+)
+
+// urgentWithin is what is aimed at for urgent work, in seconds.
+const urgentWithin = 1.2
+
+func zoneName(i int) string   { return fmt.Sprintf("zone-%02d", i) }
+func regionName(i int) string { return fmt.Sprintf("region-%d", i) }
+
+// Config is the world of the plan.
+func (p *Plan) Config() world.Config {
+	c := world.Config{Seed: p.Seed, Length: p.Length.Microseconds(), Restart: 4 * config.Second, StateDelay: 3000, CloudDelay: 250_000, Drift: 0.0005, Strays: 0.1, RemoteWorkers: true,
+		Network: world.Network{Near: 400, Far: 800, Remote: int64(p.RemoteMS * 1000), Jitter: 0.25, Regions: map[string]string{}, Home: regionName(0)}}
+	p.platform(&c)
+	p.machines(&c)
+	p.jobs(&c)
+	p.faults(&c)
+	return c
+}
+
+// platform has the settings of a large site of today, for more of everything.
+func (p *Plan) platform(c *world.Config) {
+	s := &c.Params
+	s.Size = p.Controllers
+	for i := range p.Zones {
+		s.Zones = append(s.Zones, zoneName(i))
+		c.Network.Regions[zoneName(i)] = regionName(i % p.Regions)
+	}
+	for i := range p.Teams {
+		s.Teams = append(s.Teams, config.Team{Name: teamName(i), CPUs: 50, CPUsMax: 800, GPUs: 8, GPUsMax: max(96, float64(p.LargestGang))})
+	}
+	w := &s.Workers
+	w.ReportS, w.LeaseS, w.GangWaitS, w.GangPeerS, w.CancelS = 8, 44, 50, 8, 69
+	s.State.StateLimits = config.StateLimits{RPS: p.StateRPS, WriteRPS: p.StateWrites, ValueKB: 8, TxnOps: 48}
+	s.Cloud.RPS, s.Cloud.ListLagS = 5, 8
+	s.Limits.CoreShare, s.Limits.MemMB, s.Limits.Sockets = 1, 512, 4000
+	s.ClockErrorMS = 1000
+	for _, x := range []string{classBatch, classTrain, classGang} {
+		s.Objectives = append(s.Objectives, config.Objective{Kind: "wait", Class: x, WithinS: 30})
+	}
+	s.Objectives = append(s.Objectives, config.Objective{Kind: "wait", Class: classUrgent, WithinS: urgentWithin})
+}
+
+func teamName(i int) string { return fmt.Sprintf("team-%03d", i) }
+
+// machines are all up at the start, spread over the zones.
+func (p *Plan) machines(c *world.Config) {
+	gpu := min(p.Workers, (p.Accelerators+gpusAMachine-1)/gpusAMachine)
+	for _, x := range []struct {
+		name  string
+		gpus  float64
+		count int
+	}{{cpuType, 0, p.Workers - gpu}, {gpuType, gpusAMachine, gpu}} {
+		if x.count == 0 {
+			continue
+		}
+		c.Types = append(c.Types, wire.MachineType{Name: x.name, CPUs: cpusAMachine, GPUs: x.gpus, MemGB: memAMachine, CacheGB: cacheGB, FetchRate: fetchGBPerS,
+			Price: 1 + x.gpus, SpotPrice: 0.4, BootS: bootSeconds, Zones: c.Params.Zones})
+		for i, zone := range c.Params.Zones {
+			n := x.count / p.Zones
+			if i < x.count%p.Zones {
+				n++
+			}
+			if n > 0 {
+				c.Machines = append(c.Machines, world.Machines{Type: x.name, Zone: zone, Count: n})
+			}
+			c.Capacity = append(c.Capacity, world.Capacity{Type: x.name, Zone: zone, Count: int(math.Ceil(float64(n) * spareCapacity))})
+		}
+	}
+}
+
+// placed are the names and the zones of the machines that are up at the start, of a
+// type, in the order in which the cloud names them.
+func placed(c *world.Config, typ, zone string) (names []string) {
+	n := 0
+	for _, m := range c.Machines {
+		for range m.Count {
+			if m.Type == typ && (zone == "" || m.Zone == zone) {
+				names = append(names, world.MachineName(n))
+			}
+			n++
+		}
+	}
+	return names
+}
+
+// alone are the machines whose workers have processes of their own: they have no
+// accelerators, as a gang's tasks have to share a process.
+func (p *Plan) alone(c *world.Config) []string {
+	names := placed(c, cpuType, "")
+	return names[:min(p.Alone, len(names))]
+}
+
+// load is a class of jobs: Share of all tasks that start.
+type load struct {
+	class, kind, priority string
+	share                 float64
+	sizes                 []int
+	cpus, gpus, mem       float64
+	images                int
+	imageGB               float64
+}
+
+func (p *Plan) loads() []load {
+	gangs := []int{}
+	for n := 8; n < p.LargestGang; n *= 2 {
+		gangs = append(gangs, n)
+	}
+	gangs = append(gangs, p.LargestGang)
+	all := []load{
+		{class: classBatch, kind: wire.Array, priority: "normal", share: 0.78, sizes: []int{40, 80, 100, 160}, cpus: 2, mem: 4, images: 20, imageGB: 1},
+		{class: classTrain, kind: wire.Array, priority: "normal", share: 0.12, sizes: []int{10, 20, 40}, cpus: 1, gpus: 1, mem: 8, images: 10, imageGB: 1},
+		{class: classGang, kind: wire.Gang, priority: "normal", share: 0.10, sizes: gangs, cpus: 1, gpus: 1, mem: 8, images: 10, imageGB: 1},
+	}
+	if p.Accelerators < p.LargestGang {
+		all = all[:1]
+		all[0].share = 1
+	}
+	return all
+}
+
+// The load of a run.
+const (
+	cancelledShare = 0.03
+	urgentEvery    = config.Second / 2
+	urgentRun      = 5 * config.Second
+	// afterPeak is the share of the peak's starts after it.
+	afterPeak = 0.1
+	// estimateError is how far owners' estimates are off.
+	estimateError = 0.2
+)
+
+// jobs arrive evenly at the rate of the peak, and at a tenth of it afterwards. In the
+// first part of the peak they run for as long as keeps Running tasks at Starts a
+// second; those of the last part run ten times as long and so stay.
+func (p *Plan) jobs(c *world.Config) {
+	rng := rand.New(rand.NewPCG(p.Seed, 7))
+	short := float64(p.Running) / float64(p.Starts)
+	longFrom := float64(peakTo) - short*1e6
+	end := float64(c.Length)
+	for _, l := range p.loads() {
+		mean := 0
+		for _, n := range l.sizes {
+			mean += n
+		}
+		gap := float64(mean) / float64(len(l.sizes)) / (float64(p.Starts) * l.share) * 1e6
+		for at := float64(peakFrom); at < end; {
+			run := short
+			if at >= longFrom {
+				run *= 10
+			}
+			size := l.sizes[rng.IntN(len(l.sizes))]
+			p.job(c, rng, l, int64(at), size, run*(0.6+0.8*rng.Float64()))
+			step := gap * rng.ExpFloat64()
+			if at >= float64(peakTo) {
+				step /= afterPeak
+			}
+			at += step
+		}
+	}
+	urgent := load{class: classUrgent, kind: wire.Array, priority: "urgent", cpus: 1, mem: 2, images: 2, imageGB: 0.1}
+	for at := peakFrom; at < c.Length; at += urgentEvery {
+		p.job(c, rng, urgent, at, 1, float64(urgentRun)/1e6)
+	}
+	slices.SortStableFunc(c.Jobs, func(a, b world.Job) int { return int(a.At - b.At) })
+}
+
+func (p *Plan) job(c *world.Config, rng *rand.Rand, l load, at int64, tasks int, run float64) {
+	spec := wire.Job{ID: fmt.Sprintf("req-%06d", len(c.Jobs)+1), Class: l.class, Team: teamName(rng.IntN(p.Teams)), Kind: l.kind, Priority: l.priority, Tasks: tasks,
+		CPUs: l.cpus, GPUs: l.gpus, MemGB: l.mem, Image: fmt.Sprintf("%s-%02d", l.class, rng.IntN(l.images)), ImageGB: l.imageGB, OneZone: l.kind == wire.Gang,
+		EstimateS: run * (1 + estimateError*(2*rng.Float64()-1))}
+	j := world.Job{At: at, Run: int64(run * 1e6), Spec: spec}
+	if l.class != classUrgent && rng.Float64() < cancelledShare {
+		j.Cancel = at + 5*config.Second + rng.Int64N(20*config.Second)
+	}
+	c.Jobs = append(c.Jobs, j)
+}
+
+// faults are those of machines at the plan's rates, sped up, and what is lost once.
+func (p *Plan) faults(c *world.Config) {
+	rng := rand.New(rand.NewPCG(p.Seed, 9))
+	day := 86_400e6 * planWorkers / float64(p.Workers)
+	for _, x := range []struct {
+		kind  string
+		aDay  float64
+		lasts int64
+	}{{"machine_die", planDeaths, 0}, {"machine_back", planRestarts, 10 * config.Second}} {
+		if p.FaultsTimes == 0 {
+			break
+		}
+		gap := day / x.aDay / p.FaultsTimes
+		for at := float64(peakFrom) + gap*rng.ExpFloat64(); at < float64(c.Length); at += gap * rng.ExpFloat64() {
+			c.Faults = append(c.Faults, world.Fault{At: int64(at), Kind: x.kind, For: x.lasts, Count: 1})
+		}
+	}
+	cut := func(hosts string, lasts int64) world.Fault {
+		return world.Fault{At: peakTo + 30*config.Second, For: lasts, Kind: "cut", Hosts: []string{hosts}, To: []string{"all"}}
+	}
+	for _, l := range p.Lose {
+		switch l {
+		case "zone":
+			c.Faults = append(c.Faults, cut("zone:"+zoneName(lostZone%p.Zones), 20*config.Second))
+		case "region":
+			c.Faults = append(c.Faults, cut("region:"+regionName(p.Regions-1), 60*config.Second))
+		case "rack":
+			names := placed(c, cpuType, zoneName(rackZone%p.Zones))
+			c.Faults = append(c.Faults, world.Fault{At: peakTo + 25*config.Second, Kind: "machine_die", Hosts: names[:min(rackMachines, len(names))]})
+		}
+	}
+}
+
+// aims are what the history is measured by.
+func aims() []history.Aim {
+	return []history.Aim{{Kind: "wait", Class: classUrgent, Within: int64(urgentWithin * 1e6)}, {Kind: "wait", Class: classGang, Within: 30 * config.Second},
+		{Kind: "accept", Within: config.Second}}
+}
--- a/internal/emulator/sockets/driver.go
+++ b/internal/emulator/sockets/driver.go
@@ -4,16 +4,21 @@
 package sockets
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/meter"
 	"github.com/zinclb/zinclb/internal/emulator/wire"
 	"github.com/zinclb/zinclb/internal/emulator/world"
 )
@@ -31,6 +36,28 @@
 	Args []string
 	// Progress, if set, is called every ten seconds.
 	Progress func(Progress)
+	// Workers, if set, runs the machines' workers in other processes.
+	Workers Workers
+	// Meter, if set, counts what controllers and workers send and get.
+	Meter *meter.Meter
+	// Events, if set, is called with each event; none is kept.
+	Events func(history.Event)
+	// Accepted, if set, is called when a worker has taken an answer with a higher
+	// token than any before.
+	Accepted func(token uint64, at int64)
+}
+
+// Workers runs machines' workers outside the driver's process. Its methods but
+// Settled must not wait for anything.
+type Workers interface {
+	// Machine begins or ends a worker.
+	Machine(world.Machine)
+	// Fault befalls a worker.
+	Fault(world.WorkerFault)
+	// Address is a worker's own.
+	Address(machine string) string
+	// Settled waits until the workers of machines that are gone have ended.
+	Settled(machines []string)
 }
 
 // Progress is how far a run is.
@@ -53,6 +80,15 @@
 	terms   history.Terms
 	count   Progress
 
+	// late is how late the world's own timers ran, in microseconds.
+	late *hdrhistogram.Histogram
+	// workersOnly: this process has some machines' workers and nothing else.
+	workersOnly bool
+	// reports has the clients by which workers report, where each has its own, and
+	// tokens the highest that each has been answered with.
+	reports map[string]*http.Client
+	tokens  map[string]uint64
+
 	mu        sync.Mutex // guards what follows, which handlers read
 	endpoints map[string]endpoint
 
@@ -67,19 +103,8 @@
 
 // New makes a driver of a world; nothing is served yet.
 func New(cfg world.Config, o Options) (*Driver, error) {
-	d := &Driver{Options: o, cfg: cfg, inbox: make(chan func(), inboxSize), calls: map[uint64]func(int, any){}, endpoints: map[string]endpoint{},
-		stop: make(chan struct{}), terms: cfg.Terms(), users: client(true), beats: client(false)}
-	w, err := world.New(cfg, func(e history.Event) {
-		d.history = append(d.history, e)
-		switch {
-		case e.Kind == history.Entered:
-			d.count.Ran++
-		case e.Kind == history.Told && e.Op == history.Submit && e.Status == 201:
-			d.count.Accepted++
-		case e.Kind == history.Completed:
-			d.count.Done++
-		}
-	})
+	d := newDriver(cfg, o)
+	w, err := world.New(cfg, d.happened)
 	if err != nil {
 		return nil, err
 	}
@@ -87,6 +112,79 @@
 	return d, os.MkdirAll(o.Dir, 0o755)
 }
 
+func newDriver(cfg world.Config, o Options) *Driver {
+	return &Driver{Options: o, cfg: cfg, inbox: make(chan func(), inboxSize), calls: map[uint64]func(int, any){}, endpoints: map[string]endpoint{},
+		stop: make(chan struct{}), terms: cfg.Terms(), users: client(true), beats: client(false),
+		late: hdrhistogram.New(1, mostLate, 3)}
+}
+
+// mostLate bounds what is told apart of late timers, in microseconds.
+const mostLate = 600_000_000
+
+// happened takes an event of the world.
+func (d *Driver) happened(e history.Event) {
+	if d.Events != nil {
+		d.Events(e)
+		return
+	}
+	if d.Workers != nil && e.Kind == history.Stored {
+		return // a large run stores a great deal, and no rule asks for it
+	}
+	d.history = append(d.history, e)
+	switch {
+	case e.Kind == history.Entered:
+		d.count.Ran++
+	case e.Kind == history.Told && e.Op == history.Submit && e.Status == 201:
+		d.count.Accepted++
+	case e.Kind == history.Completed:
+		d.count.Done++
+	}
+}
+
+// Absorb takes events of workers in other processes.
+func (d *Driver) Absorb(events []history.Event) {
+	d.do(func() {
+		for _, e := range events {
+			d.happened(e)
+		}
+	})
+}
+
+// Lateness is how late the timers of a world ran, in microseconds.
+type Lateness struct{ Median, P99, Worst int64 }
+
+// Lateness asks the driver's actor how late its timers have run.
+func (d *Driver) Lateness() (l Lateness) {
+	ch := make(chan Lateness, 1)
+	if !d.do(func() {
+		ch <- Lateness{d.late.ValueAtQuantile(50), d.late.ValueAtQuantile(99), d.late.Max()}
+	}) {
+		return l
+	}
+	select {
+	case l = <-ch:
+	case <-d.stop:
+	}
+	return l
+}
+
+// Stored asks for the value of a key of the state service, nil if it is not there.
+func (d *Driver) Stored(key string) []byte {
+	ch := make(chan []byte, 1)
+	if !d.do(func() { ch <- d.w.Stored(key) }) {
+		return nil
+	}
+	select {
+	case v := <-ch:
+		return v
+	case <-d.stop:
+		return nil
+	}
+}
+
+// Start is when the world's time began.
+func (d *Driver) Start() time.Time { return d.start }
+
 // now is the time since the world began.
 func (d *Driver) now() int64 { return time.Since(d.start).Microseconds() }
 
@@ -107,10 +205,26 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	d.start = time.Now()
+	if d.start.IsZero() {
+		d.start = time.Now()
+	}
 	for _, n := range d.nodes {
 		n.begin()
 	}
+	d.loop(end)
+	d.w.Close()
+	if d.Workers != nil {
+		// Events of other processes come a little later than the driver's own.
+		slices.SortStableFunc(d.history, func(a, b history.Event) int { return cmp.Compare(a.At, b.At) })
+	}
+	return d.history, nil
+}
+
+// StartsAt sets when the world's time begins, for several processes that share it.
+func (d *Driver) StartsAt(t time.Time) { d.start = t }
+
+// loop lets the world go on until its length is over or the channel is closed.
+func (d *Driver) loop(end <-chan struct{}) {
 	over := time.NewTimer(time.Duration(d.cfg.Length) * time.Microsecond)
 	defer over.Stop()
 	report := time.NewTicker(10 * time.Second)
@@ -133,6 +247,9 @@
 				}
 			}
 		case <-due.C:
+			if at, ok := d.w.Next(); ok && at <= d.now() {
+				_ = d.late.RecordValue(min(d.now()-at, mostLate)) // within its bounds
+			}
 			d.step(nil)
 		case <-report.C:
 			if d.Progress != nil {
@@ -140,11 +257,9 @@
 				d.Progress(d.count)
 			}
 		case <-over.C:
-			d.w.Close()
-			return d.history, nil
+			return
 		case <-end:
-			d.w.Close()
-			return d.history, nil
+			return
 		}
 	}
 }
@@ -174,6 +289,10 @@
 			d.proc(e.Node).freeze(e.On)
 		case world.Machine:
 			d.machine(e)
+		case world.WorkerFault:
+			if d.Workers != nil {
+				d.Workers.Fault(e)
+			}
 		}
 	}
 }
--- a/internal/emulator/sockets/proc.go
+++ b/internal/emulator/sockets/proc.go
@@ -1,6 +1,7 @@
 package sockets
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -8,10 +9,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/zinclb/zinclb/internal/config"
+	"github.com/zinclb/zinclb/internal/emulator/meter"
 	"github.com/zinclb/zinclb/internal/emulator/world"
 )
 
@@ -30,25 +33,25 @@
 // listen opens all addresses and writes the controllers' settings.
 func (d *Driver) listen() error {
 	size := d.cfg.Params.Size
-	serve := func(addr string, h http.HandlerFunc) (string, error) {
-		e, err := d.serve(addr, h)
+	serve := func(addr string, h http.HandlerFunc, by meter.Key) (string, error) {
+		e, err := d.serve(addr, h, by)
 		if err == nil {
 			d.closers = append(d.closers, e.close)
 		}
 		return e.addr, err
 	}
-	if _, err := serve(loopback(d.Port), d.balance); err != nil {
+	if _, err := serve(loopback(d.Port), d.balance, meter.Key{}); err != nil {
 		return err
 	}
-	for i := range size {
-		d.nodes = append(d.nodes, &proc{d: d, index: i, name: world.NodeName(i), front: loopback(d.Port + 1 + i), back: loopback(d.Port + 1 + size + i)})
+	for i, front := range Fronts(d.Port, size) {
+		d.nodes = append(d.nodes, &proc{d: d, index: i, name: world.NodeName(i), front: front, back: loopback(d.Port + 1 + size + i)})
 	}
 	for i, n := range d.nodes {
-		state, err := serve("127.0.0.1:0", d.pass(n.name, world.StateHost, readState, nil))
+		state, err := serve("127.0.0.1:0", d.pass(n.name, world.StateHost, readState, nil), meter.Key{Host: n.name, Kind: "state"})
 		if err != nil {
 			return err
 		}
-		cloud, err := serve("127.0.0.1:0", d.pass(n.name, world.CloudHost, readCloud, d.addressed))
+		cloud, err := serve("127.0.0.1:0", d.pass(n.name, world.CloudHost, readCloud, d.addressed), meter.Key{})
 		if err != nil {
 			return err
 		}
@@ -76,6 +79,38 @@
 	return nil
 }
 
+// Fronts are the addresses of a driver's controllers for users and workers.
+func Fronts(port, size int) (addrs []string) {
+	for i := range size {
+		addrs = append(addrs, loopback(port+1+i))
+	}
+	return addrs
+}
+
+// Processes are the numbers of the controllers' processes, by name; 0 for one
+// that is not there.
+func (d *Driver) Processes() map[string]int {
+	ch := make(chan map[string]int, 1)
+	if !d.do(func() {
+		pids := map[string]int{}
+		for _, n := range d.nodes {
+			pids[n.name] = 0
+			if n.cmd != nil {
+				pids[n.name] = n.cmd.Process.Pid
+			}
+		}
+		ch <- pids
+	}) {
+		return nil
+	}
+	select {
+	case pids := <-ch:
+		return pids
+	case <-d.stop:
+		return nil
+	}
+}
+
 // begin starts the controller's process. One that ends by itself is started
 // again after the world's time for that.
 func (n *proc) begin() {
@@ -179,24 +214,11 @@
 		return
 	}
 	defer func() { _ = o.Close() }()
+	o = d.Meter.Conn(o, meter.Key{Host: from.name, Kind: "peer"}, meter.Key{Host: to.name, Kind: "peer"})
 	over := make(chan struct{}, 2)
 	copyTo := func(dst, src net.Conn) {
 		defer func() { over <- struct{}{} }()
-		buf := make([]byte, 32<<10)
-		for {
-			n, err := src.Read(buf)
-			if n > 0 {
-				if !d.open(from, to) {
-					return
-				}
-				if _, werr := dst.Write(buf[:n]); werr != nil {
-					return
-				}
-			}
-			if err != nil {
-				return
-			}
-		}
+		d.copyLate(dst, src, from, to)
 	}
 	go copyTo(o, c)
 	go copyTo(c, o)
@@ -206,6 +228,60 @@
 	}
 }
 
+// chunk is a piece of what goes over a connection, delivered when it is due.
+type chunk struct {
+	due   time.Time
+	bytes []byte
+}
+
+// chunksUnderWay bounds what is on its way over a connection.
+const chunksUnderWay = 256
+
+// copyLate carries one direction of a connection between two controllers, each
+// piece after what the way between their regions takes.
+func (d *Driver) copyLate(dst, src net.Conn, from, to *proc) {
+	var latency time.Duration
+	if d.cfg.Network.Remote > 0 {
+		latency = time.Duration(d.w.Latency(d.cfg.NodeZone(from.index), d.cfg.NodeZone(to.index))) * time.Microsecond
+	}
+	way := make(chan chunk, chunksUnderWay)
+	var delivery sync.WaitGroup
+	broken := make(chan struct{})
+	delivery.Go(func() {
+		defer func() {
+			close(broken)
+			_ = src.SetReadDeadline(time.Now()) // whoever still reads is to end
+		}()
+		for c := range way {
+			if wait := time.Until(c.due); latency > 0 && wait > 0 {
+				time.Sleep(wait)
+			}
+			if !d.open(from, to) {
+				return
+			}
+			if _, err := dst.Write(c.bytes); err != nil {
+				return
+			}
+		}
+	})
+	defer delivery.Wait()
+	defer close(way)
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 {
+			select {
+			case way <- chunk{time.Now().Add(latency), bytes.Clone(buf[:n])}:
+			case <-broken:
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // open waits until two controllers can reach each other; false if the
 // connection is to break.
 func (d *Driver) open(a, b *proc) bool {
--- a/internal/emulator/sockets/serve.go
+++ b/internal/emulator/sockets/serve.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/meter"
 	"github.com/zinclb/zinclb/internal/emulator/scenario"
 	"github.com/zinclb/zinclb/internal/emulator/wire"
 	"github.com/zinclb/zinclb/internal/emulator/world"
@@ -33,12 +34,14 @@
 	close func()
 }
 
-// serve serves a handler on an address of loopback.
-func (d *Driver) serve(addr string, h http.HandlerFunc) (endpoint, error) {
+// serve serves a handler on an address of loopback; by is the host whose messages
+// come there, the zero Key for many.
+func (d *Driver) serve(addr string, h http.HandlerFunc, by meter.Key) (endpoint, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return endpoint{}, fmt.Errorf("listen on %s: %w", addr, err)
 	}
+	l = d.Meter.Listener(l, by)
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	d.stopped.Add(1)
 	go func() {
@@ -54,10 +57,16 @@
 	return err == nil && len(b) <= maxBody && json.Unmarshal(b, v) == nil
 }
 
-func write(w http.ResponseWriter, status int, v any) {
+// write answers a request and returns the length of the body.
+func write(w http.ResponseWriter, status int, v any) int {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain structs always encode
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v) // the caller may be gone
+	_, _ = w.Write(b) // the caller may be gone
+	return len(b)
 }
 
 // drop breaks the connection.
@@ -88,13 +97,62 @@
 			drop(w)
 			return
 		}
+		if r, ok := q.(wire.Release); ok && status == 200 && d.Workers != nil {
+			d.Workers.Settled(r.Machines)
+		}
 		if alter != nil {
 			body = alter(body)
 		}
-		write(w, status, body)
+		length := write(w, status, body)
+		if from != "" && to != "" {
+			d.Meter.Add(meter.Key{Host: from, Kind: kindOf(q)}, passed(q, status, r.ContentLength, length))
+		}
 	}
 }
 
+// passed is what one request to a service counts for.
+func passed(request any, status int, out int64, in int) meter.Count {
+	c := meter.Count{Messages: 1, BytesOut: max(out, 0), BytesIn: int64(in)}
+	if status == http.StatusTooManyRequests {
+		c.Refused = 1
+	}
+	if m, ok := request.(wire.Multi); ok && status == 200 {
+		c.Changes = int64(len(m.Writes))
+	}
+	return c
+}
+
+// kindOf names the kind of a request to a service.
+func kindOf(request any) string {
+	switch q := request.(type) {
+	case wire.Get:
+		return "state get"
+	case wire.List:
+		return "state list"
+	case wire.Multi:
+		if len(q.Writes) == 0 {
+			return "state compare"
+		}
+		return "state write"
+	case wire.Watch:
+		if q.WaitMS == 0 {
+			return "state read"
+		}
+		return "state watch"
+	case wire.NewLease:
+		return "state lease"
+	case wire.Touch:
+		return "state renewal"
+	case wire.Drop:
+		return "state drop"
+	case wire.Types, wire.Machines, wire.Rent, wire.Release:
+		return "cloud"
+	case wire.Do, wire.Inspect:
+		return "order"
+	}
+	return "other"
+}
+
 // readState reads a request to the state service, nil if it is malformed.
 func readState(r *http.Request) any {
 	v := r.URL.Query()
@@ -186,12 +244,15 @@
 
 // endpoint gives a machine its address, when it is first spoken of.
 func (d *Driver) endpoint(name string) string {
+	if d.Workers != nil {
+		return d.Workers.Address(name)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if e, ok := d.endpoints[name]; ok {
 		return e.addr
 	}
-	e, err := d.serve("127.0.0.1:0", d.pass("", name, readWorker, d.addressed))
+	e, err := d.serve("127.0.0.1:0", d.pass("", name, readWorker, d.addressed), meter.Key{})
 	if err != nil {
 		d.log("a worker has no address", err)
 		return "127.0.0.1:9"
@@ -202,10 +263,18 @@
 
 // machine opens and closes a machine's address.
 func (d *Driver) machine(m world.Machine) {
+	if d.Workers != nil {
+		d.Workers.Machine(m)
+		return
+	}
 	if m.Up {
 		d.endpoint(m.Name)
 		return
 	}
+	if c := d.reports[m.Name]; c != nil {
+		c.CloseIdleConnections()
+		delete(d.reports, m.Name)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if e, ok := d.endpoints[m.Name]; ok {
@@ -242,7 +311,7 @@
 	case *wire.Report:
 		d.addressed(q)
 		encode(q)
-		path, c, answer = "/agent/beat", d.beats, &wire.BeatAnswer{}
+		path, c, answer = "/agent/beat", d.reporter(q.Machine), &wire.BeatAnswer{}
 	case *wire.Job:
 		encode(q)
 		path = "/work"
@@ -275,6 +344,7 @@
 				_ = resp.Body.Close()
 				if readErr == nil {
 					t.Status = resp.StatusCode
+					d.counted(n.name, a, resp.StatusCode)
 					t.Retry, _ = strconv.Atoi(resp.Header.Get("Retry-After"))
 					_ = json.Unmarshal(b, answer) // an error's body may be anything
 					switch v := answer.(type) {
@@ -286,7 +356,10 @@
 				}
 			}
 		}
-		d.do(func() { d.step(t) })
+		d.do(func() {
+			d.took(a.Request, t)
+			d.step(t)
+		})
 	}()
 }
 
--- a/internal/emulator/sockets/source.go
+++ b/internal/emulator/sockets/source.go
@@ -16,6 +16,9 @@
 // is found by which process has the socket at the other end: a cut between a
 // controller and machines holds its orders too.
 func (d *Driver) source(remote string) string {
+	if d.workersOnly {
+		return "" // the controllers are not processes of this one
+	}
 	_, port, err := net.SplitHostPort(remote)
 	if err != nil {
 		return ""
--- /dev/null
+++ b/internal/emulator/workerproc/messages.go
@@ -0,0 +1,50 @@
+// Package workerproc runs the workers of an emulated world in processes of their
+// own: some hundreds of hollow workers in one process, or one worker alone in a
+// process whose cost can then be measured by itself. Both sides of the exchange
+// are here; it goes over the standard input and output of each process.
+package workerproc
+
+import (
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/meter"
+	"github.com/zinclb/zinclb/internal/emulator/sockets"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// Hello is the first message to a process.
+type Hello struct {
+	Config world.Config
+	// Fronts are the controllers' addresses.
+	Fronts []string
+	// Start is when the world's time begins, in microseconds of the time of day.
+	Start int64
+}
+
+// Command is a message to a process after that.
+type Command struct {
+	Begin     []world.WorkerBegin
+	End       []world.WorkerEnd
+	Faults    []world.WorkerFault
+	Completed []world.TaskCompleted
+	// Snapshot asks for one under this number; 0 does not.
+	Snapshot int
+}
+
+// Update is a message from a process.
+type Update struct {
+	Events []history.Event
+	// Addresses are those of workers that have begun, Ended are workers that have
+	// ended.
+	Addresses map[string]string
+	Ended     []string
+	Snapshot  *Snapshot
+}
+
+// Snapshot is what a process has counted since its start.
+type Snapshot struct {
+	Number int
+	Counts []meter.Row
+	// Known says for each token when each worker first took an answer with it.
+	Known map[uint64][]int64
+	Late  sockets.Lateness
+}
--- /dev/null
+++ b/internal/emulator/workerproc/pool.go
@@ -0,0 +1,287 @@
+package workerproc
+
+import (
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// Layout says which process has which worker.
+type Layout struct {
+	// Alone are the machines whose workers have a process of their own; all others
+	// share one for each zone.
+	Alone []string
+}
+
+// Process is a process with workers, as others see it.
+type Process struct {
+	Name string
+	PID  int
+	// Alone: it has one worker, of the machine of that name.
+	Alone bool
+}
+
+// Pool starts the processes and tells them what to run.
+type Pool struct {
+	// Events takes what happens in the processes.
+	Events func([]history.Event)
+
+	procs []*process
+
+	mu        sync.Mutex
+	of        map[string]*process // by machine
+	addresses map[string]string
+	ended     map[string]chan struct{}
+	snapshots map[int]chan Snapshot
+	number    int
+}
+
+// process is one of them. Commands are queued, so that nobody waits for it.
+type process struct {
+	Process
+	cmd   *exec.Cmd
+	queue chan Command
+	in    io.WriteCloser
+}
+
+// queued bounds the commands that wait for a process.
+const queued = 1 << 14
+
+// noAddress is where nobody listens: a worker's until it has begun.
+const noAddress = "127.0.0.1:9"
+
+// Start starts a process for each zone and for each worker that is to be alone.
+// Each is the given program with arguments by which it calls Serve.
+func Start(program string, args []string, cfg world.Config, fronts []string, start time.Time, layout Layout) (*Pool, error) {
+	p := &Pool{of: map[string]*process{}, addresses: map[string]string{}, ended: map[string]chan struct{}{}, snapshots: map[int]chan Snapshot{}}
+	hello := Hello{Config: cfg, Fronts: fronts, Start: start.UnixMicro()}
+	for i, zone := range cfg.Params.Zones {
+		hello.Config.Seed = cfg.Seed + uint64(i) + 1
+		if err := p.start(program, args, zone, false, hello); err != nil {
+			p.Close()
+			return nil, err
+		}
+	}
+	for i, machine := range layout.Alone {
+		hello.Config.Seed = cfg.Seed + uint64(len(cfg.Params.Zones)+i) + 1
+		if err := p.start(program, args, machine, true, hello); err != nil {
+			p.Close()
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (p *Pool) start(program string, args []string, name string, alone bool, hello Hello) error {
+	cmd := exec.Command(program, args...)
+	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return fmt.Errorf("workers of %s: %w", name, err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return fmt.Errorf("workers of %s: %w", name, err)
+	}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("workers of %s: %w", name, err)
+	}
+	x := &process{Process: Process{Name: name, PID: cmd.Process.Pid, Alone: alone}, cmd: cmd, queue: make(chan Command, queued), in: in}
+	p.procs = append(p.procs, x)
+	go x.write(hello)
+	go p.read(out)
+	return nil
+}
+
+// write sends what is queued, until the process has gone.
+func (x *process) write(hello Hello) {
+	enc := gob.NewEncoder(x.in)
+	if enc.Encode(hello) != nil {
+		return
+	}
+	for c := range x.queue {
+		if enc.Encode(c) != nil {
+			return
+		}
+	}
+	_ = x.in.Close() // by which it ends
+}
+
+// read takes what a process says, until it ends.
+func (p *Pool) read(out io.Reader) {
+	dec := gob.NewDecoder(out)
+	for {
+		var u Update
+		if dec.Decode(&u) != nil {
+			return
+		}
+		p.take(u)
+	}
+}
+
+func (p *Pool) take(u Update) {
+	if len(u.Events) > 0 {
+		p.Events(u.Events)
+		p.spread(u.Events)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, addr := range u.Addresses {
+		p.addresses[name] = addr
+	}
+	for _, name := range u.Ended {
+		if ch := p.ended[name]; ch != nil {
+			close(ch)
+			delete(p.ended, name)
+		}
+	}
+	if s := u.Snapshot; s != nil && p.snapshots[s.Number] != nil {
+		p.snapshots[s.Number] <- *s
+	}
+}
+
+// spread tells all processes which tasks were completed: a result is kept for
+// whoever starts the task again.
+func (p *Pool) spread(events []history.Event) {
+	var done []world.TaskCompleted
+	for _, e := range events {
+		if e.Kind == history.Completed {
+			done = append(done, world.TaskCompleted{Job: e.Job, Task: e.Task})
+		}
+	}
+	if len(done) == 0 {
+		return
+	}
+	for _, x := range p.procs {
+		x.tell(Command{Completed: done})
+	}
+}
+
+func (x *process) tell(c Command) {
+	select {
+	case x.queue <- c:
+	default: // it has gone, or is hopelessly late; its workers fall silent then
+	}
+}
+
+// Machine begins or ends a worker.
+func (p *Pool) Machine(m world.Machine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !m.Up {
+		if x := p.of[m.Name]; x != nil {
+			p.ended[m.Name] = make(chan struct{})
+			x.tell(Command{End: []world.WorkerEnd{{Name: m.Name, Why: m.Why}}})
+			delete(p.of, m.Name)
+		}
+		return
+	}
+	i := slices.IndexFunc(p.procs, func(x *process) bool { return x.Alone && x.Name == m.Name })
+	if i < 0 {
+		i = slices.IndexFunc(p.procs, func(x *process) bool { return !x.Alone && x.Name == m.Zone })
+	}
+	if i < 0 {
+		return
+	}
+	p.of[m.Name] = p.procs[i]
+	p.procs[i].tell(Command{Begin: []world.WorkerBegin{{Name: m.Name, Type: m.Type, Zone: m.Zone, Spot: m.Spot}}})
+}
+
+// Fault befalls a worker.
+func (p *Pool) Fault(f world.WorkerFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x := p.of[f.Name]; x != nil {
+		x.tell(Command{Faults: []world.WorkerFault{f}})
+	}
+}
+
+// Address is a worker's own.
+func (p *Pool) Address(machine string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if addr, ok := p.addresses[machine]; ok {
+		return addr
+	}
+	return noAddress
+}
+
+// settleMost is how long an ending worker is waited for: its process may be gone.
+const settleMost = 5 * time.Second
+
+// Settled waits until the workers of machines that are gone have ended.
+func (p *Pool) Settled(machines []string) {
+	late := time.After(settleMost)
+	for _, m := range machines {
+		p.mu.Lock()
+		ch := p.ended[m]
+		p.mu.Unlock()
+		if ch == nil {
+			continue
+		}
+		select {
+		case <-ch:
+		case <-late:
+			return
+		}
+	}
+}
+
+// errSilent: a process did not answer.
+var errSilent = errors.New("a process with workers does not answer")
+
+// snapshotMost is how long processes may take to answer.
+const snapshotMost = 10 * time.Second
+
+// Snapshot is what each process has counted, by its name.
+func (p *Pool) Snapshot() (map[string]Snapshot, error) {
+	out := map[string]Snapshot{}
+	late := time.After(snapshotMost)
+	for _, x := range p.procs {
+		ch := make(chan Snapshot, 1)
+		p.mu.Lock()
+		p.number++
+		number := p.number
+		p.snapshots[number] = ch
+		p.mu.Unlock()
+		x.tell(Command{Snapshot: number})
+		select {
+		case out[x.Name] = <-ch:
+		case <-late:
+			return nil, fmt.Errorf("%w: %s", errSilent, x.Name)
+		}
+		p.mu.Lock()
+		delete(p.snapshots, number)
+		p.mu.Unlock()
+	}
+	return out, nil
+}
+
+// Processes are the processes that were started.
+func (p *Pool) Processes() (l []Process) {
+	for _, x := range p.procs {
+		l = append(l, x.Process)
+	}
+	return l
+}
+
+// Close ends all processes and waits until they have.
+func (p *Pool) Close() {
+	for _, x := range p.procs {
+		_ = x.cmd.Process.Kill() // it may have ended
+	}
+	for _, x := range p.procs {
+		_ = x.cmd.Wait() // how it ended does not matter
+	}
+}
--- /dev/null
+++ b/internal/emulator/workerproc/serve.go
@@ -0,0 +1,140 @@
+package workerproc
+
+import (
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/meter"
+	"github.com/zinclb/zinclb/internal/emulator/sockets"
+)
+
+// flushEvery is how often events go to the emulator.
+const flushEvery = 50 * time.Millisecond
+
+// Serve runs workers as it is told, until the input ends.
+func Serve(in io.Reader, out io.Writer) error {
+	dec := gob.NewDecoder(in)
+	var hello Hello
+	if err := dec.Decode(&hello); err != nil {
+		return fmt.Errorf("read what to run: %w", err)
+	}
+	p := &served{out: gob.NewEncoder(out), meter: meter.New(), known: map[uint64][]int64{}}
+	d, err := sockets.NewWorkers(hello.Config, hello.Fronts, sockets.Options{Meter: p.meter, Events: p.happened, Accepted: p.accepted})
+	if err != nil {
+		return err
+	}
+	p.driver = d
+	d.StartsAt(time.UnixMicro(hello.Start))
+	end := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() { d.RunWorkers(end) })
+	running.Go(func() { p.flushes(end) })
+	defer running.Wait()
+	defer close(end)
+	for {
+		var c Command
+		if err := dec.Decode(&c); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return fmt.Errorf("read a command: %w", err)
+		}
+		p.carryOut(c)
+	}
+}
+
+// served is a process's side.
+type served struct {
+	driver *sockets.Driver
+	meter  *meter.Meter
+
+	sending sync.Mutex
+	out     *gob.Encoder
+
+	mu     sync.Mutex
+	events []history.Event
+	known  map[uint64][]int64
+}
+
+// happened and accepted are called by the driver's actor.
+func (p *served) happened(e history.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events = append(p.events, e)
+}
+
+func (p *served) accepted(token uint64, at int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known[token] = append(p.known[token], at)
+}
+
+func (p *served) send(u Update) {
+	p.sending.Lock()
+	defer p.sending.Unlock()
+	_ = p.out.Encode(u) // whoever would read it has gone; the input ends too
+}
+
+func (p *served) flushes(end <-chan struct{}) {
+	tick := time.NewTicker(flushEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			p.flush()
+		case <-end:
+			return
+		}
+	}
+}
+
+// flush sends the events that have come.
+func (p *served) flush() {
+	p.mu.Lock()
+	events := p.events
+	p.events = nil
+	p.mu.Unlock()
+	if len(events) > 0 {
+		p.send(Update{Events: events})
+	}
+}
+
+func (p *served) carryOut(c Command) {
+	for _, b := range c.Begin {
+		p.driver.Tell(b, func() {
+			p.send(Update{Addresses: map[string]string{b.Name: p.driver.Endpoint(b.Name)}})
+		})
+	}
+	for _, e := range c.End {
+		p.driver.Tell(e, func() {
+			p.flush() // what ended with it comes before
+			p.send(Update{Ended: []string{e.Name}})
+		})
+	}
+	for _, f := range c.Faults {
+		p.driver.Tell(f, nil)
+	}
+	for _, t := range c.Completed {
+		p.driver.Tell(t, nil)
+	}
+	if c.Snapshot != 0 {
+		go p.snapshot(c.Snapshot)
+	}
+}
+
+func (p *served) snapshot(number int) {
+	late := p.driver.Lateness()
+	p.flush()
+	p.mu.Lock()
+	known := make(map[uint64][]int64, len(p.known))
+	for token, at := range p.known {
+		known[token] = append([]int64(nil), at...)
+	}
+	p.mu.Unlock()
+	p.send(Update{Snapshot: &Snapshot{Number: number, Counts: p.meter.Rows(), Known: known, Late: late}})
+}
--- a/internal/emulator/world/cloud.go
+++ b/internal/emulator/world/cloud.go
@@ -227,9 +227,12 @@
 	return 0
 }
 
+// MachineName is that of the machine that was rented after so many others.
+func MachineName(i int) string { return fmt.Sprintf("host-%06d", i) }
+
 // make makes a machine that is up after boot, or never if that is negative.
 func (c *cloud) make(t *wire.MachineType, zone string, spot bool, boot int64) *machine {
-	m := newMachine(c.w, fmt.Sprintf("host-%06d", len(c.order)), t, zone, spot)
+	m := newMachine(c.w, MachineName(len(c.order)), t, zone, spot)
 	c.order = append(c.order, m)
 	c.machines[m.name] = m
 	c.used[slot(t.Name, zone, spot)]++
--- a/internal/emulator/world/front.go
+++ b/internal/emulator/world/front.go
@@ -58,7 +58,7 @@
 	if !u.done[t.index] {
 		u.done[t.index] = true
 		t.record(history.Completed, "")
-		if len(u.done) == u.spec.Tasks {
+		if len(u.done) == u.spec.Tasks && u.w.front != nil {
 			u.lastDone()
 		}
 	}
--- a/internal/emulator/world/machine.go
+++ b/internal/emulator/world/machine.go
@@ -75,7 +75,15 @@
 	m.up, m.answered = true, m.w.now
 	m.w.cloud.change(m, "running")
 	m.w.record(history.Event{Kind: history.Up, Machine: m.name, Type: m.typ.Name, Zone: m.zone, Spot: m.spot})
-	m.w.emit(Machine{m.name, true})
+	m.w.emit(Machine{Name: m.name, Up: true, Type: m.typ.Name, Zone: m.zone, Spot: m.spot})
+	m.work()
+}
+
+// work starts the worker, unless that runs in another process.
+func (m *machine) work() {
+	if m.w.RemoteWorkers {
+		return
+	}
 	m.watchLease()
 	m.send()
 }
@@ -90,7 +98,7 @@
 	m.w.cloud.used[slot(m.typ.Name, m.zone, m.spot)]--
 	m.w.cloud.paid(m)
 	if m.up {
-		m.w.emit(Machine{m.name, false})
+		m.w.emit(Machine{Name: m.name, Why: why})
 	}
 }
 
@@ -229,6 +237,14 @@
 
 // restart ends the worker with all its tasks, and begins it again after a time.
 func (m *machine) restart(away int64, anew bool) {
+	if m.w.RemoteWorkers {
+		kind := "machine_back"
+		if anew {
+			kind = "machine_anew"
+		}
+		m.w.emit(WorkerFault{Name: m.name, Kind: kind, For: away})
+		return
+	}
 	m.killAll("restarted")
 	m.up, m.sending, m.dirty, m.due = false, false, false, 0
 	m.life++
@@ -285,6 +301,10 @@
 
 // hang stops a machine, go on lets it continue.
 func (m *machine) hang() {
+	if m.w.RemoteWorkers {
+		m.w.emit(WorkerFault{Name: m.name, Kind: "machine_hang"})
+		return
+	}
 	m.hanging = true
 	for _, t := range m.tasks {
 		t.pause()
@@ -292,6 +312,10 @@
 }
 
 func (m *machine) goOn() {
+	if m.w.RemoteWorkers {
+		m.w.emit(WorkerFault{Name: m.name, Kind: workerGoesOn})
+		return
+	}
 	m.hanging = false
 	if m.gone {
 		return
--- a/internal/emulator/world/network.go
+++ b/internal/emulator/world/network.go
@@ -15,6 +15,32 @@
 	// and sent again.
 	Near, Far    int64
 	Jitter, Loss float64
+	// Remote is the delay between two regions, 0 for that between two zones.
+	Remote int64
+	// Regions has the region of each zone. Without any, all zones are in one.
+	Regions map[string]string
+	// Home is the region of the state service, the cloud, the users and their
+	// balancer, "" for all of them.
+	Home string
+}
+
+// latency is the delay between two zones without what varies. The zone "" is
+// that of the regional services.
+func (n *Network) latency(a, b string) int64 {
+	region := func(zone string) string {
+		if zone == "" {
+			return n.Home
+		}
+		return n.Regions[zone]
+	}
+	switch x, y := region(a), region(b); {
+	case a == b:
+		return n.Near
+	case n.Remote > 0 && x != "" && y != "" && x != y:
+		return n.Remote
+	default:
+		return n.Far
+	}
 }
 
 // resend is how long it takes until a lost packet is sent again.
@@ -33,6 +59,7 @@
 type network struct {
 	w     *World
 	addrs map[string]netip.Addr
+	zones map[string]string // of each host
 	count map[[2]int]int
 	cuts  []*cut
 	// met are the pairs of hosts that have a connection.
@@ -49,9 +76,9 @@
 
 func newNetwork(w *World) *network {
 	if w.Network.Near == 0 {
-		w.Network = Network{Near: 400, Far: 800, Jitter: 0.25}
+		w.Network.Near, w.Network.Far, w.Network.Jitter = 400, 800, 0.25
 	}
-	return &network{w: w, addrs: map[string]netip.Addr{}, count: map[[2]int]int{}, met: map[[2]string]bool{}}
+	return &network{w: w, addrs: map[string]netip.Addr{}, zones: map[string]string{}, count: map[[2]int]int{}, met: map[[2]string]bool{}}
 }
 
 func (n *network) zone(name string) int {
@@ -68,10 +95,11 @@
 	z := n.zone(zone)
 	n.count[[2]int{z, kind}]++
 	i := n.count[[2]int{z, kind}]
+	n.zones[name] = zone
 	n.addrs[name] = netip.AddrFrom4([4]byte{10, byte(z), byte(kind + i>>8), byte(i)})
 }
 
-// set reads a set of hosts: names of hosts, "zone:NAME", "workers:ZONE",
+// set reads a set of hosts: names of hosts, "zone:NAME", "region:NAME", "workers:ZONE",
 // "controllers", "workers", "services", "users", "all" and prefixes of addresses.
 func (n *network) set(list []string) (*bart.Lite, error) {
 	s := &bart.Lite{}
@@ -84,6 +112,7 @@
 	kinds := map[string]int{"services": services, "users": users, "controllers": controllers}
 	for _, h := range list {
 		zone, isZone := strings.CutPrefix(h, "zone:")
+		region, isRegion := strings.CutPrefix(h, "region:")
 		part, isPart := strings.CutPrefix(h, "workers:")
 		kind, isKind := kinds[h]
 		switch {
@@ -94,7 +123,18 @@
 			if z == 0 {
 				return nil, fmt.Errorf("unknown zone %q", zone)
 			}
-			s.Insert(netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(z), 0, 0}), 16))
+			s.Insert(zonePrefix(z))
+		case isRegion:
+			known := false
+			for i, z := range n.w.Params.Zones {
+				if n.w.Network.Regions[z] == region {
+					s.Insert(zonePrefix(i + 1))
+					known = true
+				}
+			}
+			if !known {
+				return nil, fmt.Errorf("unknown region %q", region)
+			}
 		case isPart:
 			z := n.zone(part)
 			if z == 0 {
@@ -122,6 +162,11 @@
 	return s, nil
 }
 
+// zonePrefix has the addresses of a zone.
+func zonePrefix(zone int) netip.Prefix {
+	return netip.PrefixFrom(netip.AddrFrom4([4]byte{10, byte(zone), 0, 0}), 16)
+}
+
 // Cutting is how a cut treats what is sent across it.
 type Cutting struct {
 	// Reset: connections break instead of being held. Refuse: new ones break,
@@ -148,8 +193,10 @@
 func (n *network) delay(from, to string) int64 {
 	c := &n.w.Network
 	d := c.Far
-	if a, b := n.addrs[from], n.addrs[to]; a.IsValid() && b.IsValid() && a.As4()[1] == b.As4()[1] {
-		d = c.Near
+	a, known := n.zones[from]
+	b, alsoKnown := n.zones[to]
+	if known && alsoKnown {
+		d = c.latency(a, b)
 	}
 	d = n.w.spread(d, 1-c.Jitter, 1+c.Jitter)
 	if c.Loss > 0 && n.w.rng.Float64() < c.Loss {
--- a/internal/emulator/world/outside.go
+++ b/internal/emulator/world/outside.go
@@ -35,6 +35,12 @@
 	return names
 }
 
+// Stored is the value of a key of the state service, nil if it is not there.
+func (w *World) Stored(key string) []byte {
+	v, _ := w.state.keys.Get(key)
+	return v.value
+}
+
 // Cut says whether the network between two hosts is cut, and whether that breaks
 // connections.
 func (w *World) Cut(a, b string) (cut, reset bool) {
--- /dev/null
+++ b/internal/emulator/world/remote.go
@@ -0,0 +1,121 @@
+package world
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/wire"
+)
+
+// The workers of a world may run in other processes, so that a large fleet is no
+// burden to the one that serves everything else. Each of these processes has a
+// world of workers alone. What befalls a machine is decided by the world that
+// has the cloud and told to the one that has its worker.
+
+// Messages to a world of workers, and WorkerFault also from the world that has
+// the cloud.
+type (
+	// WorkerBegin begins the worker of a machine that is up.
+	WorkerBegin struct {
+		Name, Type, Zone string
+		Spot             bool
+	}
+	// WorkerEnd ends a worker and everything on its machine.
+	WorkerEnd struct{ Name, Why string }
+	// WorkerFault befalls a worker. Kind is that of the fault, or workerGoesOn.
+	WorkerFault struct {
+		Name, Kind string
+		For        int64
+	}
+	// TaskCompleted says that a task was completed on a machine elsewhere: its
+	// result is kept for whoever starts it again.
+	TaskCompleted struct {
+		Job  string
+		Task int
+	}
+)
+
+// workerGoesOn ends the standstill of a worker.
+const workerGoesOn = "machine_goes_on"
+
+// RemoteFaults are the kinds of faults that a world with RemoteWorkers can play.
+var RemoteFaults = []string{"crash", "roll", "freeze", "cut", "state_outage", "state_refuse", "state_slow",
+	"cloud_outage", "cloud_refuse", "cloud_capacity", "cloud_slow", "machine_die", "machine_hang", "machine_back", "machine_anew"}
+
+// NewWorkers makes a world of workers, in which no machine is up yet. Cuts of the
+// network are played in it as in the world that has the cloud; all other faults
+// come as messages.
+func NewWorkers(c Config, record func(history.Event)) (*World, error) {
+	c.RemoteWorkers = false // they are here
+	w := newWorld(c, record)
+	for _, j := range c.Jobs {
+		j.At, j.Cancel = -1, 0
+		if err := w.addJob(j); err != nil {
+			return nil, err
+		}
+		w.jobs[j.Spec.ID].submitted = true
+	}
+	for i, f := range c.Faults {
+		if f.Kind != "cut" {
+			continue
+		}
+		if err := w.schedule(f); err != nil {
+			return nil, fmt.Errorf("fault %d: %w", i, err)
+		}
+	}
+	for _, n := range w.nodes {
+		n.up = true
+	}
+	return w, nil
+}
+
+// worker takes a message about a worker.
+func (w *World) worker(msg any) {
+	switch m := msg.(type) {
+	case WorkerBegin:
+		w.beginWorker(m)
+	case WorkerEnd:
+		if x := w.cloud.machines[m.Name]; x != nil {
+			x.gone = true
+			x.killAll(m.Why)
+			delete(w.cloud.machines, m.Name)
+			w.emit(Machine{Name: m.Name, Why: m.Why})
+		}
+	case WorkerFault:
+		if x := w.cloud.machines[m.Name]; x != nil {
+			x.befallen(m)
+		}
+	case TaskCompleted:
+		if u := w.jobs[m.Job]; u != nil {
+			u.done[m.Task] = true
+		}
+	}
+}
+
+func (w *World) beginWorker(m WorkerBegin) {
+	i := slices.IndexFunc(w.Types, func(t wire.MachineType) bool { return t.Name == m.Type })
+	if i < 0 || w.cloud.machines[m.Name] != nil {
+		return
+	}
+	x := newMachine(w, m.Name, &w.Types[i], m.Zone, m.Spot)
+	w.cloud.machines[m.Name] = x
+	w.net.add(m.Name, m.Zone, workers)
+	w.emit(Machine{Name: m.Name, Up: true, Type: m.Type, Zone: m.Zone, Spot: m.Spot})
+	// As if it had come up at some moment of a report interval.
+	w.after(w.rng.Int64N(second), func() {
+		x.up, x.answered = true, w.now
+		x.work()
+	})
+}
+
+func (m *machine) befallen(f WorkerFault) {
+	switch f.Kind {
+	case "machine_hang":
+		m.hang()
+	case workerGoesOn:
+		m.goOn()
+	default:
+		m.restart(f.For, f.Kind == "machine_anew")
+	}
+}
--- a/internal/emulator/world/world.go
+++ b/internal/emulator/world/world.go
@@ -45,6 +45,9 @@
 	// Strays is how often a second somebody asks about a job that nobody
 	// submitted.
 	Strays float64
+	// RemoteWorkers: the machines' workers run in other processes, each of which
+	// has a world of its own, see NewWorkers.
+	RemoteWorkers bool
 }
 
 // Capacity is how many machines the cloud has of a type in a zone: ordinary
@@ -145,10 +148,11 @@
 		Node string
 		On   bool
 	}
-	// Machine is one that is up or gone, for drivers that give it an address.
+	// Machine is one that is up or gone, for drivers that give it an address or
+	// run its worker. Why is the reason for which it is gone.
 	Machine struct {
-		Name string
-		Up   bool
+		Name, Type, Zone, Why string
+		Spot, Up              bool
 	}
 )
 
@@ -191,18 +195,8 @@
 
 // New makes a world at time 0. Nothing has happened yet.
 func New(c Config, record func(history.Event)) (*World, error) {
-	w := &World{Config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), asked: map[uint64]*asked{}, gangs: map[gangKey]*gang{}, jobs: map[string]*user{}, Record: record}
-	w.net = newNetwork(w)
-	for i := range c.Params.Size {
-		n := &node{name: NodeName(i), zone: c.Params.Zones[i%len(c.Params.Zones)]}
-		w.nodes = append(w.nodes, n)
-		w.net.add(n.name, n.zone, controllers)
-	}
-	w.net.add(StateHost, "", services)
-	w.net.add(CloudHost, "", services)
-	w.net.add(usersHost, "", users)
+	w := newWorld(c, record)
 	w.state = newState(w)
-	w.cloud = newCloud(w)
 	w.front = newFront(w)
 	for _, m := range c.Machines {
 		t := w.cloud.typ(m.Type)
@@ -231,6 +225,26 @@
 	return w, nil
 }
 
+// newWorld makes a world of hosts alone.
+func newWorld(c Config, record func(history.Event)) *World {
+	w := &World{Config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), asked: map[uint64]*asked{}, gangs: map[gangKey]*gang{}, jobs: map[string]*user{}, Record: record}
+	w.net = newNetwork(w)
+	for i := range c.Params.Size {
+		n := &node{name: NodeName(i), zone: c.Params.Zones[i%len(c.Params.Zones)]}
+		w.nodes = append(w.nodes, n)
+		w.net.add(n.name, n.zone, controllers)
+	}
+	w.net.add(StateHost, "", services)
+	w.net.add(CloudHost, "", services)
+	w.net.add(usersHost, "", users)
+	w.cloud = newCloud(w)
+	return w
+}
+
+// Latency is the delay between two zones of the world, "" being that of the
+// regional services, without what varies.
+func (w *World) Latency(a, b string) int64 { return w.Network.latency(a, b) }
+
 // The names of hosts that are neither controllers nor machines.
 const (
 	StateHost = "state"
@@ -295,6 +309,8 @@
 			n.up = m.Up
 			w.record(history.Event{Kind: history.Node, Node: m.Node, State: map[bool]string{true: "up", false: "down"}[m.Up]})
 		}
+	default:
+		w.worker(m)
 	}
 	out := w.out
 	w.out = nil
