--- a/cmd/zinclb-emulator/scale.go
+++ b/cmd/zinclb-emulator/scale.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/zinclb/zinclb/internal/emulator/scale"
+	"github.com/zinclb/zinclb/internal/emulator/scenario"
 	"github.com/zinclb/zinclb/internal/emulator/workerproc"
 )
 
@@ -35,6 +36,8 @@
 	sizes   []int
 	figures string
 	name    string
+	// scenario is a world in place of the plan's own.
+	scenario string
 }
 
 // scaleCommand plays a large deployment and measures what each role costs.
@@ -53,7 +56,7 @@
 			if err := scale.CheckPrograms(o.Binaries); err != nil {
 				return err
 			}
-			plans, err := plansOf(cmd, plan, fl.sizes)
+			plans, err := plansOf(cmd, plan, fl)
 			if err != nil {
 				return err
 			}
@@ -84,6 +87,7 @@
 	f.StringSliceVar(&o.Binaries, "binary", nil, "controllers' programs, given out in turn")
 	f.StringSliceVar(&o.Args, "arg", nil, "arguments of controllers before --config")
 	f.StringVar(&fl.figures, "figures", "", "a directory that gets a file of figures for each run")
+	f.StringVar(&fl.scenario, "scenario", "", "a scenario to play in place of the operators' plan")
 	f.StringVar(&fl.name, "name", "", "the beginning of those files' names")
 	return cmd
 }
@@ -97,7 +101,11 @@
 }
 
 // plansOf makes a plan for each size. What no flag sets follows from the size.
-func plansOf(cmd *cobra.Command, given scale.Plan, sizes []int) ([]scale.Plan, error) {
+func plansOf(cmd *cobra.Command, given scale.Plan, fl scaleFlags) ([]scale.Plan, error) {
+	if fl.scenario != "" {
+		return planOfScenario(cmd, given, fl.scenario)
+	}
+	sizes := fl.sizes
 	if len(sizes) == 0 {
 		sizes = []int{given.Workers}
 	}
@@ -119,6 +127,31 @@
 	return plans, nil
 }
 
+// planOfScenario plays a scenario; flags of the plan's own world are refused.
+func planOfScenario(cmd *cobra.Command, given scale.Plan, path string) ([]scale.Plan, error) {
+	for _, flag := range []string{"workers", "sizes", "accelerators", "controllers", "zones", "regions", "teams", "running", "starts", "largest-gang", "faults-times", "lose", "state-rps", "state-writes", "remote-ms"} {
+		if cmd.Flags().Changed(flag) {
+			return nil, fmt.Errorf("%s: the scenario says that", flag)
+		}
+	}
+	seed := uint64(0)
+	if cmd.Flags().Changed("seed") {
+		seed = given.Seed
+	}
+	s, err := scenario.Load(path, seed)
+	if err != nil {
+		return nil, err
+	}
+	if cmd.Flags().Changed("length") {
+		s.Length = given.Length.Microseconds()
+	}
+	p, err := scale.OfScenario(path, s.Config, given.Alone)
+	if err == nil {
+		err = p.Check()
+	}
+	return []scale.Plan{p}, err
+}
+
 // playScale plays the plans one after the other. All are checked before the first
 // begins.
 func playScale(plans []scale.Plan, o scale.Options, fl scaleFlags) error {
--- a/internal/emulator/scale/need.go
+++ b/internal/emulator/scale/need.go
@@ -12,15 +12,15 @@
 	mostProcesses = 300
 )
 
-// What parts of a run hold, in MB, from runs of 400 to 3,200 workers; docs/CAPACITY.md
-// has what was measured.
+// What parts of a run hold at most, in MB, by themselves and for each worker: a run
+// of 3,200 workers held 55% of what this reckons.
 const (
-	emulatorMB         = 300
-	emulatorMBAWorker  = 0.5
-	controllerMB       = 40
-	controllerMBAWork  = 0.03
-	workerProcessMB    = 40
-	workerProcessMBAWk = 0.35
+	emulatorMB            = 100
+	emulatorMBAWorker     = 0.15
+	controllerMB          = 25
+	controllerMBAWorker   = 0.02
+	workerProcessMB       = 30
+	workerProcessAWorkers = 0.15
 )
 
 // Need is what a run takes.
@@ -34,8 +34,8 @@
 	workers := float64(p.Workers)
 	return Need{
 		Processes: 1 + p.Controllers + p.Zones + p.Alone,
-		MemoryMB: emulatorMB + emulatorMBAWorker*workers + float64(p.Controllers)*(controllerMB+controllerMBAWork*workers) +
-			float64(p.Zones+p.Alone)*workerProcessMB + workerProcessMBAWk*workers,
+		MemoryMB: emulatorMB + emulatorMBAWorker*workers + float64(p.Controllers)*(controllerMB+controllerMBAWorker*workers) +
+			float64(p.Zones+p.Alone)*workerProcessMB + workerProcessAWorkers*workers,
 	}
 }
 
--- a/internal/emulator/scale/plan.go
+++ b/internal/emulator/scale/plan.go
@@ -44,6 +44,34 @@
 	RemoteMS    float64       `json:"remote_ms"`
 	Seed        uint64        `json:"seed"`
 	Length      time.Duration `json:"length"`
+	// Scenario names the world that is played in place of the plan's own.
+	Scenario string        `json:"scenario,omitempty"`
+	given    *world.Config // that world
+}
+
+// OfScenario is a plan that plays a given world.
+func OfScenario(name string, c world.Config, alone int) (Plan, error) {
+	p := Plan{Scenario: name, given: &c, Controllers: c.Params.Size, Zones: len(c.Params.Zones), Regions: 1, Teams: len(c.Params.Teams), Running: 1, Starts: 1, LargestGang: 1,
+		Alone: alone, StateRPS: c.Params.State.RPS, StateWrites: c.Params.State.WriteRPS, RemoteMS: max(0.1, float64(c.Network.Remote)/1000), Seed: c.Seed, Length: time.Duration(c.Length) * time.Microsecond}
+	var errs []error
+	for _, m := range c.Machines {
+		p.Workers += m.Count
+	}
+	for i, f := range c.Faults {
+		if !slices.Contains(world.RemoteFaults, f.Kind) {
+			errs = append(errs, fmt.Errorf("fault[%d].kind: a scale run can't play %s", i, f.Kind))
+		}
+	}
+	for _, j := range c.Jobs {
+		if j.Spec.Kind == wire.Gang && j.Spec.Tasks > 1 && !j.Spec.OneZone {
+			errs = append(errs, fmt.Errorf("load: class %s: the tasks of a gang share a process, which is that of a zone: one_zone is needed", j.Spec.Class))
+			break
+		}
+	}
+	if len(c.Sweeps) > 0 {
+		errs = append(errs, errors.New("sweep: a scale run plays none"))
+	}
+	return p, errors.Join(errs...)
 }
 
 // The operators' plan for two years on, which other sizes are shares of.
@@ -147,6 +175,11 @@
 
 // Config is the world of the plan.
 func (p *Plan) Config() world.Config {
+	if p.given != nil {
+		c := *p.given
+		c.RemoteWorkers = true
+		return c
+	}
 	c := world.Config{Seed: p.Seed, Length: p.Length.Microseconds(), Restart: 4 * config.Second, StateDelay: 3000, CloudDelay: 250_000, Drift: 0.0005, Strays: 0.1, RemoteWorkers: true,
 		Network: world.Network{Near: 400, Far: 800, Remote: int64(p.RemoteMS * 1000), Jitter: 0.25, Regions: map[string]string{}, Home: regionName(0)}}
 	p.platform(&c)
@@ -226,9 +259,26 @@
 // accelerators, as a gang's tasks have to share a process.
 func (p *Plan) alone(c *world.Config) []string {
 	names := placed(c, cpuType, "")
+	if p.given != nil {
+		names = placed(c, ungangedType(c), "")
+	}
 	return names[:min(p.Alone, len(names))]
 }
 
+// ungangedType is a type of machines that no gang of several tasks may use, "" if
+// there is none.
+func ungangedType(c *world.Config) string {
+	for _, t := range c.Types {
+		fits := func(j world.Job) bool {
+			return j.Spec.Kind == wire.Gang && j.Spec.Tasks > 1 && j.Spec.GPUs <= t.GPUs && j.Spec.CPUs <= t.CPUs && (len(j.Spec.Types) == 0 || slices.Contains(j.Spec.Types, t.Name))
+		}
+		if !slices.ContainsFunc(c.Jobs, fits) {
+			return t.Name
+		}
+	}
+	return ""
+}
+
 // load is a class of jobs: Share of all tasks that start.
 type load struct {
 	class, kind, priority string
--- a/internal/emulator/scenario/scenario_test.go
+++ b/internal/emulator/scenario/scenario_test.go
@@ -38,6 +38,13 @@
 		{least + `fault { kind: "state_slow" }`, "factor"},
 		{least + `aim { kind: "luck" }`, "aim[0].kind"},
 		{least + `sweep { text: "id: 3" }`, "sweep[0].text"},
+		{least + `region { name: "north" zones: "a" } network { remote_ms: 9 home: "north" } fault { kind: "cut" hosts: "region:north" }`, ""},
+		{least + `region { zones: "a" }`, "region[0].name: missing"},
+		{least + `region { name: "north" zones: "x" }`, `region[0].zones: no zone is called "x"`},
+		{least + `region { name: "n" zones: "a" } region { name: "s" zones: "a" }`, `region[1].zones: "a" is in "n" already`},
+		{least + `network { home: "south" }`, `network.home: no region is called "south"`},
+		{least + `network { remote_ms: -1 }`, "network.remote_ms: -1"},
+		{least + `fault { kind: "cut" hosts: "region:x" }`, `unknown region "x"`},
 	}
 	for _, tc := range cases {
 		_, err := Parse([]byte(tc.text), 0)
--- a/internal/emulator/workerproc/pool.go
+++ b/internal/emulator/workerproc/pool.go
@@ -44,6 +44,7 @@
 	ended     map[string]chan struct{}
 	snapshots map[int]chan Snapshot
 	number    int
+	completed map[world.TaskCompleted]bool
 }
 
 // process is one of them. Commands are queued, so that nobody waits for it.
@@ -63,7 +64,7 @@
 // Start starts a process for each zone and for each worker that is to be alone.
 // Each is the given program with arguments by which it calls Serve.
 func Start(program string, args []string, cfg world.Config, fronts []string, start time.Time, layout Layout) (*Pool, error) {
-	p := &Pool{of: map[string]*process{}, addresses: map[string]string{}, ended: map[string]chan struct{}{}, snapshots: map[int]chan Snapshot{}}
+	p := &Pool{of: map[string]*process{}, addresses: map[string]string{}, ended: map[string]chan struct{}{}, snapshots: map[int]chan Snapshot{}, completed: map[world.TaskCompleted]bool{}}
 	hello := Hello{Config: cfg, Fronts: fronts, Start: start.UnixMicro()}
 	for i, zone := range cfg.Params.Zones {
 		hello.Config.Seed = cfg.Seed + uint64(i) + 1
@@ -100,7 +101,7 @@
 	x := &process{Process: Process{Name: name, PID: cmd.Process.Pid, Alone: alone}, cmd: cmd, queue: make(chan Command, queued), in: in}
 	p.procs = append(p.procs, x)
 	go x.write(hello)
-	go p.read(out)
+	go p.read(x, out)
 	return nil
 }
 
@@ -119,21 +120,24 @@
 }
 
 // read takes what a process says, until it ends.
-func (p *Pool) read(out io.Reader) {
+func (p *Pool) read(x *process, out io.Reader) {
 	dec := gob.NewDecoder(out)
 	for {
 		var u Update
 		if dec.Decode(&u) != nil {
 			return
 		}
-		p.take(u)
+		p.take(x, u)
 	}
 }
 
-func (p *Pool) take(u Update) {
+func (p *Pool) take(x *process, u Update) {
 	if len(u.Events) > 0 {
 		p.Events(u.Events)
 		p.spread(u.Events)
+		if x.Alone {
+			p.answer(x, u.Events)
+		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -151,19 +155,42 @@
 	}
 }
 
-// spread tells all processes which tasks were completed: a result is kept for
-// whoever starts the task again.
+// spread tells the processes with many workers which tasks were completed: a result
+// is kept for whoever starts the task again. Those with one worker are only told
+// what they need, as their cost is measured.
 func (p *Pool) spread(events []history.Event) {
 	var done []world.TaskCompleted
+	p.mu.Lock()
 	for _, e := range events {
 		if e.Kind == history.Completed {
-			done = append(done, world.TaskCompleted{Job: e.Job, Task: e.Task})
+			t := world.TaskCompleted{Job: e.Job, Task: e.Task}
+			p.completed[t] = true
+			done = append(done, t)
 		}
 	}
+	p.mu.Unlock()
 	if len(done) == 0 {
 		return
 	}
 	for _, x := range p.procs {
+		if !x.Alone {
+			x.tell(Command{Completed: done})
+		}
+	}
+}
+
+// answer tells a process with one worker which of the tasks that it was given were
+// completed elsewhere.
+func (p *Pool) answer(x *process, events []history.Event) {
+	var done []world.TaskCompleted
+	p.mu.Lock()
+	for _, e := range events {
+		if t := (world.TaskCompleted{Job: e.Job, Task: e.Task}); e.Kind == history.Given && p.completed[t] {
+			done = append(done, t)
+		}
+	}
+	p.mu.Unlock()
+	if len(done) > 0 {
 		x.tell(Command{Completed: done})
 	}
 }
--- a/internal/emulator/workerproc/serve.go
+++ b/internal/emulator/workerproc/serve.go
@@ -13,8 +13,8 @@
 	"github.com/zinclb/zinclb/internal/emulator/sockets"
 )
 
-// flushEvery is how often events go to the emulator.
-const flushEvery = 50 * time.Millisecond
+// flushAfter is how long an event waits for others before it goes to the emulator.
+const flushAfter = 50 * time.Millisecond
 
 // Serve runs workers as it is told, until the input ends.
 func Serve(in io.Reader, out io.Writer) error {
@@ -33,7 +33,6 @@
 	end := make(chan struct{})
 	var running sync.WaitGroup
 	running.Go(func() { d.RunWorkers(end) })
-	running.Go(func() { p.flushes(end) })
 	defer running.Wait()
 	defer close(end)
 	for {
@@ -65,6 +64,9 @@
 func (p *served) happened(e history.Event) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if len(p.events) == 0 {
+		time.AfterFunc(flushAfter, p.flush)
+	}
 	p.events = append(p.events, e)
 }
 
@@ -80,19 +82,6 @@
 	_ = p.out.Encode(u) // whoever would read it has gone; the input ends too
 }
 
-func (p *served) flushes(end <-chan struct{}) {
-	tick := time.NewTicker(flushEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			p.flush()
-		case <-end:
-			return
-		}
-	}
-}
-
 // flush sends the events that have come.
 func (p *served) flush() {
 	p.mu.Lock()
--- a/internal/emulator/world/machine_test.go
+++ b/internal/emulator/world/machine_test.go
@@ -368,3 +368,36 @@
 		t.Run(tc.says, func(t *testing.T) { tc.play(newStage(t)) })
 	}
 }
+
+// TestRegions: the delay between two hosts goes by their zones and regions, and a
+// region can be cut off as a whole.
+func TestRegions(t *testing.T) {
+	n := Network{Near: 400, Far: 800, Remote: 8000, Regions: map[string]string{"a": "north", "b": "north", "c": "south"}, Home: "south"}
+	cases := []struct {
+		a, b string
+		want int64
+	}{{"a", "a", 400}, {"a", "b", 800}, {"a", "c", 8000}, {"", "c", 800}, {"", "a", 8000}, {"", "", 400}}
+	for _, tc := range cases {
+		if got := n.latency(tc.a, tc.b); got != tc.want {
+			t.Errorf("%q to %q: %d, want %d", tc.a, tc.b, got, tc.want)
+		}
+	}
+	plain := Network{Near: 400, Far: 800, Remote: 8000}
+	if got := plain.latency("a", "c"); got != 800 {
+		t.Errorf("without regions: %d", got)
+	}
+	c := Config{Network: n}
+	c.Params.Size, c.Params.Zones = 3, []string{"a", "b", "c"}
+	w, err := New(c, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Befall(Fault{Kind: "cut", Hosts: []string{"region:north"}, To: []string{"all"}, For: second}); err != nil {
+		t.Fatal(err)
+	}
+	for i, want := range []bool{true, true, false} {
+		if cut, _ := w.Cut(NodeName(i), StateHost); cut != want {
+			t.Errorf("%s is cut: %v", NodeName(i), cut)
+		}
+	}
+}
