--- a/internal/core/await_test.go
+++ b/internal/core/await_test.go
@@ -361,7 +361,7 @@
 			// A crash halfway changes nothing.
 			s.run(second)
 			s.c = New(s.c.set, s.now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
-			delete(s.keys, leaderKey)
+			delete(s.keys, LeaderKey)
 			s.list()
 			s.run(40 * second)
 			for i := range n {
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"github.com/zinclb/zinclb/internal/core/kv"
 	"slices"
 	"strings"
 
@@ -80,7 +81,7 @@
 // leaderPuts writes a value as a whole, if nothing newer is stored: one of its own
 // that got no answer may be executed after later ones.
 func (c *Core) leaderPuts(key string, value []byte, done func(Committed)) {
-	c.multi([]Cond{{leaderKey, c.lead.stamp}, {key, c.stamps[key]}}, []Write{{Key: key, Value: value}}, func(m Committed) {
+	c.multi([]Cond{kv.At(LeaderKey, c.lead.stamp), kv.At(key, c.stamps[key])}, []Write{{Key: key, Value: value}}, func(m Committed) {
 		if m.Status == 200 {
 			c.stamps[key] = max(c.stamps[key], m.Ledger)
 		}
@@ -147,9 +148,9 @@
 	if l == nil || l.flying || l.resolving > 0 || c.now < l.notBefore || len(l.dirty) == 0 && l.unneeded == 0 && len(c.orphaned) == 0 {
 		return
 	}
-	c.budget.refill(c.now, c.writeRate())
+	c.budget.Refill(c.now, c.allowance.Changes)
 	c.resplit()
-	ops := min(c.limits().TxnOps, int(c.budget.level)-1)
+	ops := min(c.limits().TxnOps, int(c.budget.Level())-1)
 	if ops < 1 {
 		return
 	}
@@ -167,8 +168,8 @@
 	})
 	// While the budget is short, what can wait does so for a while, so that
 	// one write takes many tasks' ends.
-	scarce := c.budget.level < c.writeRate()/2
-	when := []Cond{{leaderKey, l.stamp}}
+	scarce := c.budget.Level() < c.allowance.Changes/2
+	when := []Cond{kv.At(LeaderKey, l.stamp)}
 	var writes []Write
 	var items []item
 	size := 0
@@ -185,12 +186,12 @@
 	stillOpen := func(j *ledger.Job) {
 		if j.Sweep != "" && !open[j.Sweep] {
 			open[j.Sweep] = true
-			when = append(when, Cond{sweepEndPrefix + j.Sweep, 0})
+			when = append(when, kv.At(sweepEndPrefix+j.Sweep, 0))
 		}
 	}
 	addEnd := func(j *ledger.Job, outcome string) ledger.End {
 		e := c.end(outcome, j)
-		add(Write{Key: endPrefix + j.ID, Value: encode(e)}, Cond{endPrefix + j.ID, 0})
+		add(Write{Key: endPrefix + j.ID, Value: encode(e)}, kv.At(endPrefix+j.ID, 0))
 		return e
 	}
 	for _, j := range jobs {
@@ -217,7 +218,7 @@
 				c.addRemoval(&it, room-1, add)
 				break
 			}
-			add(Write{Key: jobPrefix + j.ID, Value: c.overRecord(j, ledger.Done)}, Cond{jobPrefix + j.ID, j.Stamp})
+			add(Write{Key: jobPrefix + j.ID, Value: c.overRecord(j, ledger.Done)}, kv.At(jobPrefix+j.ID, j.Stamp))
 		case j.Over != "" && j.NumPlaced == 0:
 			if j.Derived {
 				if room < 2 {
@@ -254,7 +255,7 @@
 					continue
 				}
 				key := runKey(j.ID, ledger.Value{Span: j.Span(), N: n})
-				add(Write{Key: key, Value: v}, Cond{key, j.Chunk(n).Stamp})
+				add(Write{Key: key, Value: v}, kv.At(key, j.Chunk(n).Stamp))
 				it.chunks = append(it.chunks, chunkWrite{n, version, false})
 			}
 		}
@@ -267,7 +268,7 @@
 	if len(writes) == 0 {
 		return
 	}
-	c.budget.level -= float64(len(writes))
+	c.budget.Use(float64(len(writes)))
 	l.flying = true
 	sent := c.now
 	c.multi(when, writes, func(m Committed) {
@@ -355,17 +356,17 @@
 	j := it.job
 	if c.joined() {
 		it.remove = true
-		add(Write{Key: jobPrefix + j.ID}, Cond{jobPrefix + j.ID, j.Stamp})
+		add(Write{Key: jobPrefix + j.ID}, kv.At(jobPrefix+j.ID, j.Stamp))
 		return
 	}
 	values, stamps := j.Stored()
 	it.remove = len(values)+1 <= room
 	it.removed = values[:min(room, len(values))]
 	for i, v := range it.removed {
-		add(Write{Key: runKey(j.ID, v)}, Cond{runKey(j.ID, v), stamps[i]})
+		add(Write{Key: runKey(j.ID, v)}, kv.At(runKey(j.ID, v), stamps[i]))
 	}
 	if it.remove {
-		add(Write{Key: jobPrefix + j.ID}, Cond{jobPrefix + j.ID, j.Stamp})
+		add(Write{Key: jobPrefix + j.ID}, kv.At(jobPrefix+j.ID, j.Stamp))
 	}
 }
 
@@ -425,7 +426,7 @@
 
 // resolve reads a key whose version was not the expected one.
 func (c *Core) resolve(l *leadership, key string) {
-	if key == leaderKey {
+	if key == LeaderKey {
 		c.emit(View{After: c.applied})
 		l.resolving++ // nothing more is written under this leadership
 		if c.lead == l {
--- a/internal/core/commit_test.go
+++ b/internal/core/commit_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/core/rates"
 )
 
 // TestCommitOrder: where the budget of changes is short, starts and finished
@@ -44,7 +45,7 @@
 			done := add("done", ledger.Idle)
 			done.SetDone(0, then)
 			done.SetDone(1, then)
-			c.budget.level, c.budget.at = tc.level, c.now
+			c.budget = rates.NewBudget(c.now, tc.level)
 			c.lead.flying, c.lead.notBefore = false, 0
 			c.commitNow()
 			got := ""
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,8 +9,12 @@
 
 	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core/fleet"
+	"github.com/zinclb/zinclb/internal/core/kv"
 	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/core/rates"
 	"github.com/zinclb/zinclb/internal/core/reach"
+	"github.com/zinclb/zinclb/internal/core/replica"
+	"github.com/zinclb/zinclb/internal/core/txn"
 	"github.com/zinclb/zinclb/internal/core/upgrade"
 	"github.com/zinclb/zinclb/internal/core/vouch"
 )
@@ -21,7 +25,8 @@
 	jobPrefix = Prefix + "job/"
 	runPrefix = Prefix + "run/"
 	endPrefix = Prefix + "end/"
-	leaderKey = Prefix + "leader"
+	// LeaderKey is on the leader's lease.
+	LeaderKey = Prefix + "leader"
 	tokenKey  = Prefix + "token"
 	typesKey  = Prefix + "types"
 	boundsKey = Prefix + "bounds"
@@ -40,7 +45,7 @@
 
 // StartPrefixes are listed at the start; ends are read one by one, as they
 // are kept for ever.
-var StartPrefixes = []string{jobPrefix, runPrefix, leaderKey, tokenKey, typesKey, boundsKey, hintsKey, formatKey, memberPrefix, logPrefix, sweepRoot, reachPrefix, featuresKey, gonePrefix}
+var StartPrefixes = []string{jobPrefix, runPrefix, LeaderKey, tokenKey, typesKey, boundsKey, hintsKey, formatKey, memberPrefix, logPrefix, sweepRoot, reachPrefix, featuresKey, gonePrefix}
 
 const second = config.Second
 
@@ -55,18 +60,13 @@
 	Program *upgrade.Program
 }
 
-// Cond is a condition on the version of a key, 0 for absent.
-type Cond struct {
-	Key   string
-	Stamp uint64
-}
-
-// Write is a change of a key; a nil Value deletes it.
-type Write struct {
-	Key   string
-	Value []byte
-	Lease uint64
-}
+// What is stored, as package kv has it.
+type (
+	Cond      = kv.Cond
+	Write     = kv.Write
+	Change    = kv.Change
+	Committed = kv.Committed
+)
 
 // ListPage is how many machines a page of the cloud's list holds.
 const ListPage = 500
@@ -82,32 +82,36 @@
 		Ledger uint64
 		Err    error
 	}
-	// Change is a key's new value, or its removal.
-	Change struct {
-		Key     string
-		Value   []byte
-		Stamp   uint64
-		Removed bool
-	}
 	// Watched is the answer of a watch that began after After and was sent at
 	// Sent. View marks a read of the moment, Asked one that users wait for, Gone
-	// that the service has forgotten After.
+	// that the service has forgotten After. Relayed: the leader has read it.
 	Watched struct {
-		After, Ledger     uint64
-		Sent              int64
-		Changes           []Change
-		View, Asked, Gone bool
-		Err               error
-	}
-	// Committed is the answer to a Multi.
-	Committed struct {
-		ID     uint64
-		Status int // 0: no answer, so unknown
-		Ledger uint64
-		Failed []string
-		// Observed: nobody answered, and the changes were read; so it is not known
-		// when it was carried out.
-		Observed bool
+		After, Ledger              uint64
+		Sent                       int64
+		Changes                    []Change
+		View, Asked, Gone, Relayed bool
+		Err                        error
+	}
+	// LeaderWatched is the answer of a WatchLeader: the leadership may have changed,
+	// or the watch is over.
+	LeaderWatched struct {
+		Changed bool
+		Err     error
+	}
+	// ViewFor asks a leader for what has changed after a revision, by a read that
+	// begins after this came.
+	ViewFor struct {
+		Req   uint64
+		After uint64
+		// Need is how many changes the asker lacks for what its users ask.
+		Need int
+	}
+	// Shown is how an AskView that was sent at Sent ended.
+	Shown struct {
+		Number, After uint64
+		Sent          int64
+		Answer        Reply
+		Err           error
 	}
 	// Got is the answer to a Get; Stamp 0 means that the key is absent.
 	Got struct {
@@ -310,6 +314,7 @@
 		Cloud  *CloudAnswer
 		Gone   *GoneState
 		Ops    *OpsView
+		View   *replica.View
 		// Token and Orders answer a report, Leader a misdirected one.
 		Token  uint64
 		Orders []Order
@@ -317,10 +322,23 @@
 	}
 	// Quit ends the process: what is stored needs a newer program.
 	Quit struct{ Why string }
-	// List reads the start prefixes.
-	List struct{}
+	// List reads the start prefixes: so many pages at once, and each further one
+	// Gap later.
+	List struct {
+		AtOnce int
+		Gap    int64
+	}
 	// Watch waits for changes after a revision, View reads them at once.
 	Watch struct{ After uint64 }
+	// WatchLeader waits for a change of the leadership alone.
+	WatchLeader struct{ After uint64 }
+	// AskView asks the leader for what has changed after a revision; Number tells
+	// its answer from others.
+	AskView struct {
+		To            string
+		After, Number uint64
+		Need          int
+	}
 	// View is answered by Watched with View set, and Asked as it is here.
 	View struct {
 		After uint64
@@ -449,11 +467,13 @@
 	leaderAt uint64
 	token    tokenValue
 	tokenAt  uint64
-	watching bool
-	hints    map[string][]byte
-	format   formatValue
-	formatAt uint64
-	latch    *upgrade.Latch
+	// watching: a watch of everything is under way, watchingLeader one of the
+	// leadership alone.
+	watching, watchingLeader bool
+	hints                    map[string][]byte
+	format                   formatValue
+	formatAt                 uint64
+	latch                    *upgrade.Latch
 	// featuresAt and goneAt are versions of keys; unfit is why this program must
 	// not go on.
 	featuresAt uint64
@@ -502,9 +522,18 @@
 	seen              map[string]redirect // workers that were sent elsewhere
 	// pings go out once a second
 	pinged int64
-	commit map[uint64]*transaction
+	txns   *txn.Table
 	gets   map[uint64]func(Got)
-	budget bucket
+	// allowance is what this controller may use of the state service, budget what is
+	// left of it for changes, reading for reads that can wait.
+	allowance       rates.Share
+	budget, reading rates.Budget
+	// follower decides whether the leader is asked for what is stored, recent has
+	// the latest changes for those who ask this one.
+	follower replica.Follower
+	recent   replica.Log
+	// mirrorAt is up to when, at the least, all that was stored is known.
+	mirrorAt int64
 }
 
 // New makes a core. now is the steady clock.
@@ -512,12 +541,14 @@
 	c := &Core{set: set, now: now, rng: rng, log: log, jobs: map[string]*ledger.Job{},
 		orphaned: map[string]map[ledger.Value]Change{}, ends: map[string]ledger.End{}, hints: map[string][]byte{},
 		peers: map[string]peerView{}, seen: map[string]redirect{}, span: ledger.ChunkTasks, graph: ledger.NewGraph(), recall: newRecall(), asking: map[string]int64{}, sweeps: map[string]*sweep{}, latch: newLatch(&set), goneAt: map[string]uint64{},
-		commit: map[uint64]*transaction{}, gets: map[uint64]func(Got){}, reachAt: map[string]uint64{}, stamps: map[string]uint64{},
+		txns: txn.New(), gets: map[uint64]func(Got){}, reachAt: map[string]uint64{}, stamps: map[string]uint64{},
 		links: reach.New(set.Name, set.Boot, set.Peers, set.Zones, config.Secs(set.Workers.ReportS))}
 	c.frugal = set.Frugal(&c.set.Ops)
 	c.witness = vouch.NewWitness(set.Boot, set.Peers, set.Hold(), now)
 	c.tells.sent = map[string]int64{}
 	c.requests.inFlight = map[string][]*ask{}
+	c.allowance = c.allowanceNow()
+	c.reading = rates.NewBudget(now, c.allowance.Reads)
 	c.list()
 	return c
 }
@@ -535,12 +566,18 @@
 		c.onListed(m)
 	case Watched:
 		c.onWatched(m)
+	case LeaderWatched:
+		c.onLeaderWatched(m)
+	case ViewFor:
+		c.wait(&ask{req: m.Req, kind: askView, revision: m.After, need: m.Need, since: c.now, handed: true})
+	case Shown:
+		c.onShown(m)
 	case Committed:
-		if t := c.commit[m.ID]; t == nil || len(t.writes) > 0 {
+		if !c.txns.Compares(m.ID) {
 			c.noteLimits(m.Status)
 		}
 		c.noteWrite(m)
-		c.ended(m)
+		c.txns.End(m)
 	case Got:
 		c.stateAnswered(&c.links.Reads, m.Err)
 		if f := c.gets[m.ID]; f != nil {
@@ -621,11 +658,7 @@
 
 func (c *Core) multi(when []Cond, writes []Write, f func(Committed)) {
 	id := c.id()
-	t := &transaction{writes: writes, done: f}
-	for _, w := range when {
-		t.after = max(t.after, w.Stamp)
-	}
-	c.commit[id] = t
+	c.txns.Begin(id, when, writes, c.now, f)
 	c.emit(Multi{ID: id, When: when, Writes: writes})
 }
 
@@ -636,7 +669,9 @@
 }
 
 func (c *Core) tick() {
-	c.budget.refill(c.now, c.writeRate())
+	c.allowance = c.allowanceNow()
+	c.reading.Refill(c.now, c.allowance.Reads)
+	c.budget.Refill(c.now, c.allowance.Changes)
 	if c.now-c.pinged >= second {
 		c.pinged = c.now
 		for _, p := range c.set.Peers {
@@ -648,8 +683,11 @@
 			}
 		}
 	}
-	c.observedTick()
+	for _, answer := range c.txns.Overdue(c.now) {
+		c.txns.End(answer)
+	}
 	c.requestsTick()
+	c.watch()
 	c.tellsTick()
 	c.electTick()
 	c.joinTick()
@@ -659,26 +697,3 @@
 		c.leadTick()
 	}
 }
-
-// writeRate is how many changes a second this controller makes at most: the
-// leader writes the most, the others accept and cancel.
-func (c *Core) writeRate() float64 {
-	w := c.limits().WriteRPS
-	if c.lead != nil {
-		return w * 0.75
-	}
-	// Users come in bursts at one controller or another, and far less than
-	// this on average: each may use the whole of what the leader leaves.
-	return w * 0.25
-}
-
-// bucket is a budget of changes a second with a burst of one second's worth.
-type bucket struct {
-	level float64
-	at    int64
-}
-
-func (b *bucket) refill(now int64, rate float64) {
-	b.level = min(b.level+float64(now-b.at)/1e6*rate, rate)
-	b.at = now
-}
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/zinclb/zinclb/internal/core/fleet"
+	"github.com/zinclb/zinclb/internal/core/kv"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 	"github.com/zinclb/zinclb/internal/core/reach"
 	"github.com/zinclb/zinclb/internal/core/vouch"
@@ -106,8 +107,8 @@
 	e.writing = true
 	token := c.token.Token + 1
 	v := leaderValue{Name: c.set.Name, Boot: c.set.Boot, Token: token, Lease: e.lease}
-	c.multi([]Cond{{leaderKey, 0}, {tokenKey, c.tokenAt}}, []Write{
-		{Key: leaderKey, Value: encode(v), Lease: e.lease},
+	c.multi([]Cond{kv.At(LeaderKey, 0), kv.At(tokenKey, c.tokenAt)}, []Write{
+		{Key: LeaderKey, Value: encode(v), Lease: e.lease},
 		{Key: tokenKey, Value: encode(tokenValue{token})},
 	}, func(m Committed) {
 		e.writing = false
@@ -179,6 +180,7 @@
 	c.lead = &leadership{token: c.leader.Token, stamp: c.leaderAt, since: c.now, stored: c.elect.leaseAt, mirrored: known,
 		words: vouch.NewWords(c.set.Peers, c.hold()), directs: map[string][]Order{},
 		fleet: fleet.NewSet(), roster: newRoster(), leaderState: newLeaderState(c.now)}
+	c.allowance = c.allowanceNow()
 	c.takeHints()
 	placed := 0
 	for _, id := range inOrder(c.jobs) {
@@ -209,6 +211,7 @@
 		c.emit(Reply{Req: c.lead.lot.byName[name].req, Status: 503, Error: "no longer leading"})
 	}
 	c.lead = nil
+	c.allowance = c.allowanceNow()
 	c.bounds = fleet.Bounds{}
 	c.list()
 }
--- /dev/null
+++ b/internal/core/follow.go
@@ -0,0 +1,129 @@
+package core
+
+import (
+	"github.com/zinclb/zinclb/internal/core/rates"
+	"github.com/zinclb/zinclb/internal/core/replica"
+	"github.com/zinclb/zinclb/internal/core/upgrade"
+)
+
+// How a controller that does not lead learns what is stored; see package replica.
+
+const (
+	// askViewGap is the least time between two questions to the leader: those who
+	// come meanwhile share the next.
+	askViewGap = 10_000
+	// newsGap is how often the leader is asked while something is known to be
+	// stored, or expected, that the mirror does not show.
+	newsGap = 150_000
+)
+
+// viewSource is the controller that is asked for what is stored, "" for the state
+// service itself.
+func (c *Core) viewSource() string {
+	if c.lead != nil || !c.synced || c.leaderAt == 0 || c.stateLost() || !c.latch.Enabled(upgrade.SharedReads) || !c.peerUp(c.leader.Name) {
+		return ""
+	}
+	c.follower.Led(c.leader.Name, c.leader.Token)
+	return c.follower.Source(c.now)
+}
+
+// awaitsNews says whether the mirror lacks something: a revision that an answer has
+// told of, or the changes of a transaction whose answer may be lost.
+func (c *Core) awaitsNews() bool {
+	return c.behind > c.applied || c.txns.Unanswered(c.now, newsGap)
+}
+
+// lackingChanges is how many changes users' requests wait for.
+func (c *Core) lackingChanges() int {
+	if len(c.requests.writes) == 0 || c.budget.Level() >= 1 {
+		return 0
+	}
+	n := 0
+	for _, a := range c.requests.writes {
+		n += a.changes()
+	}
+	return n
+}
+
+// changes is how many changes a request takes; a sweep's are told from its size when
+// it is written.
+func (a *ask) changes() int {
+	if a.kind == askCancel {
+		return 2
+	}
+	return 1
+}
+
+// showView answers a controller that asks what is stored. It was read after the
+// question came.
+func (c *Core) showView(a *ask) {
+	changes, ok := c.recent.Since(a.revision)
+	if c.lead == nil || !ok {
+		r := unavailable
+		r.Req, r.Error = a.req, "this controller does not lead, or has forgotten the revision"
+		c.emit(r)
+		return
+	}
+	granted := c.budget.Give(a.need, c.usersLeast())
+	c.emit(Reply{Req: a.req, Status: 200, View: &replica.View{Ledger: c.applied, Changes: changes, Granted: granted}})
+}
+
+// onShown takes the leader's answer. If there is none the state service is asked
+// instead, for the same requests.
+func (c *Core) onShown(m Shown) {
+	v := m.Answer.View
+	ok := m.Err == nil && m.Answer.Status == 200 && v != nil && v.Ledger >= m.After
+	if !c.follower.Ended(m.Number, ok, c.now) {
+		return // late, or a repeat: what it grants may have been used
+	}
+	if !ok || !c.synced || m.After > c.applied {
+		c.emit(View{After: c.applied, Asked: true})
+		return
+	}
+	c.budget.Get(v.Granted)
+	c.onWatched(Watched{After: m.After, Ledger: v.Ledger, Sent: m.Sent, Changes: v.Changes, View: true, Asked: true, Relayed: true})
+	c.writeNow()
+}
+
+// watch watches what this controller needs to know of at once: a follower the
+// leadership, as it learns of all else by its views, and everybody else everything.
+func (c *Core) watch() {
+	switch {
+	case !c.synced:
+	case c.viewSource() != "" && c.follower.Follows(c.now):
+		if !c.watchingLeader {
+			c.watchingLeader = true
+			c.emit(WatchLeader{After: c.applied})
+		}
+	case !c.watching && (c.lead != nil || c.reading.Take()):
+		c.watching = true
+		c.emit(Watch{After: c.applied})
+	}
+}
+
+// onLeaderWatched reads what is stored where the leadership may have changed. It
+// asks nobody else, as the leader may be gone.
+func (c *Core) onLeaderWatched(m LeaderWatched) {
+	c.watchingLeader = false
+	c.stateAnswered(&c.links.Watch, m.Err)
+	if m.Changed && c.synced {
+		c.emit(View{After: c.applied})
+	}
+	c.watch()
+}
+
+// seenBy is how long the others may take to see that this controller leads.
+const seenBy = 300_000
+
+// begins says whether this controller has just begun to lead: the others may still
+// use what nobody leading leaves them.
+func (c *Core) begins() bool { return c.lead != nil && c.now-c.lead.since < seenBy }
+
+// allowanceNow is what this controller may use of the state service.
+func (c *Core) allowanceNow() rates.Share {
+	l := c.limits()
+	present, older := c.latch.Present(upgrade.SharedReads, c.leader.Name)
+	proven := c.elect.lease != 0 && c.now-c.elect.leaseAt < c.set.Ops.LeaderLease && c.latch.MemberFor(c.now) > rates.Settled && c.now-c.mirrorAt < rates.Fresh
+	return rates.Of(rates.Limits{Requests: l.RPS, Changes: l.WriteRPS}, rates.Members{All: len(c.set.Peers) + 1, Present: present, Older: older,
+		Proven: proven, Led: c.leaderAt != 0 && !c.begins(), Leads: c.lead != nil, Shared: c.latch.Enabled(upgrade.SharedReads)})
+}
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"github.com/zinclb/zinclb/internal/core/kv"
 	"slices"
 	"strconv"
 	"strings"
@@ -193,9 +194,9 @@
 		done(false)
 		return
 	}
-	c.budget.level--
+	c.budget.Use(1)
 	lease := e.lease
-	c.multi([]Cond{{key, stamp}}, []Write{{Key: key, Value: encode(v), Lease: lease}}, func(r Committed) {
+	c.multi([]Cond{kv.At(key, stamp)}, []Write{{Key: key, Value: encode(v), Lease: lease}}, func(r Committed) {
 		if r.Status == 400 && e.lease == lease && c.lead == nil {
 			e.lease = 0 // it has run out
 		}
@@ -206,7 +207,7 @@
 // joinTick says what this controller is, for as long as it runs.
 func (c *Core) joinTick() {
 	e := &c.elect
-	if !c.synced || c.now < e.joinAt || c.budget.level < 1 {
+	if !c.synced || c.now < e.joinAt || c.budget.Level() < 1 {
 		return
 	}
 	w, stamp, say := c.latch.Own()
@@ -225,14 +226,14 @@
 // older program meanwhile is not overlooked. It lowers the tasks of a value too.
 func (c *Core) latchTick() {
 	l := c.lead
-	if l.latching || c.now < l.latchAt || !c.sure() || c.budget.level < 1 {
+	if l.latching || c.now < l.latchAt || !c.sure() || c.budget.Level() < 1 {
 		return
 	}
 	for _, n := range c.latch.Back() {
 		// Operators took it for gone, and it is there.
 		l.latching, l.latchAt = true, c.now+second
-		c.budget.level--
-		c.multi([]Cond{{leaderKey, l.stamp}, {gonePrefix + n, c.goneAt[n]}}, []Write{{Key: gonePrefix + n}}, func(Committed) { l.latching = false })
+		c.budget.Use(1)
+		c.multi([]Cond{kv.At(LeaderKey, l.stamp), kv.At(gonePrefix+n, c.goneAt[n])}, []Write{{Key: gonePrefix + n}}, func(Committed) { l.latching = false })
 		return
 	}
 	f, by := c.latch.Next()
@@ -240,12 +241,12 @@
 	if f == nil && (!c.joined() || tasks == 0 || tasks >= c.format.Tasks) {
 		return
 	}
-	when := []Cond{{leaderKey, l.stamp}}
+	when := []Cond{kv.At(LeaderKey, l.stamp)}
 	write := Write{Key: formatKey}
 	switch {
 	case f != nil && f.Format == 0:
 		write = Write{Key: featuresKey, Value: encode(featuresValue{c.latch.On(f)})}
-		when = append(when, Cond{featuresKey, c.featuresAt})
+		when = append(when, kv.At(featuresKey, c.featuresAt))
 	default:
 		version := c.format.Version
 		if f != nil {
@@ -257,18 +258,18 @@
 			tasks = c.format.Tasks
 		}
 		write.Value = encode(formatValue{version, tasks})
-		when = append(when, Cond{formatKey, c.formatAt})
+		when = append(when, kv.At(formatKey, c.formatAt))
 	}
 	if f != nil {
 		if len(by)+len(when) > 4*c.limits().TxnOps {
 			return // more controllers than conditions: it can't be proven
 		}
 		for _, m := range by {
-			when = append(when, Cond{memberPrefix + m.Name, m.Stamp})
+			when = append(when, kv.At(memberPrefix+m.Name, m.Stamp))
 		}
 	}
 	l.latching, l.latchAt = true, c.now+second
-	c.budget.level--
+	c.budget.Use(1)
 	c.multi(when, []Write{write}, func(Committed) {
 		l.latching = false // it holds when the mirror shows it
 	})
@@ -298,7 +299,7 @@
 		if m.Gone {
 			w.Value = encode(goneValue{c.now + c.wallOffset})
 		}
-		c.multi([]Cond{{w.Key, c.goneAt[m.Name]}}, []Write{w}, func(r Committed) {
+		c.multi([]Cond{kv.At(w.Key, c.goneAt[m.Name])}, []Write{w}, func(r Committed) {
 			if r.Status == 200 {
 				c.emit(Reply{Req: m.Req, Status: 200, Gone: &GoneState{m.Name, m.Gone}})
 				return
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -46,7 +46,7 @@
 	images := c.hintImages()
 	// Every value names all images.
 	of := 1 + (l.fleet.Len()*machineBytes+len(images)*2*sourceBytes)/(room-len(images)*imageBytes)
-	if c.now-l.hintsAt < max(hintsEvery/int64(of), int64(1e6/(c.writeRate()*hintsShare))) || !c.sure() || c.budget.level < 4 {
+	if c.now-l.hintsAt < max(hintsEvery/int64(of), int64(1e6/(c.allowance.Changes*hintsShare))) || !c.sure() || c.budget.Level() < 4 {
 		return
 	}
 	l.hintsAt = c.now
@@ -56,7 +56,7 @@
 	if string(value) == string(l.hints[key]) {
 		return
 	}
-	c.budget.level--
+	c.budget.Use(1)
 	c.leaderPuts(key, value, func(m Committed) {
 		if c.lead == l && m.Status == 200 {
 			l.hints[key] = value
--- a/internal/core/lookup.go
+++ b/internal/core/lookup.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"github.com/zinclb/zinclb/internal/core/kv"
 	"slices"
 
 	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/core/rates"
 )
 
 // Whoever asks about a job that is not unfinished costs a read of its end, and most
@@ -13,13 +15,6 @@
 // of many ends are absent, and those that are not are read. What the state service
 // refuses for its rate is asked again, within what users wait for.
 
-// lookup is the requests that wait for what is stored of their jobs' ends.
-type lookup struct {
-	waiting []*ask
-	flying  bool
-	at      int64 // when the last one was sent
-}
-
 // lookupMost is how many ends are asked about at once.
 const lookupMost = 64
 
@@ -34,45 +29,31 @@
 // readEnd looks for the end of a job that is not unfinished: it was either
 // finished earlier or never accepted.
 func (c *Core) readEnd(a *ask) {
-	if len(c.requests.ends.waiting) >= maxWaiting {
+	if c.requests.ends.Waiting() >= maxWaiting {
 		c.refuse(a)
 		return
 	}
-	c.requests.ends.waiting = append(c.requests.ends.waiting, a)
+	c.requests.ends.Add(a.id, a)
 	c.lookNow()
 }
 
 // lookNow asks about the ends that requests wait for, if nothing is under way.
 func (c *Core) lookNow() {
 	l := &c.requests.ends
-	if l.flying || len(l.waiting) == 0 || l.at != 0 && c.now-l.at < c.viewGap() {
+	if !l.Due(c.now, rates.Gap(c.allowance.Views)) || c.lead == nil && !c.reading.Take() {
 		return
 	}
-	most := min(4*c.limits().TxnOps, lookupMost)
-	byID, ids := map[string][]*ask{}, []string(nil)
-	var rest []*ask
-	for _, a := range l.waiting {
-		switch {
-		case byID[a.id] != nil:
-			byID[a.id] = append(byID[a.id], a)
-		case len(ids) < most:
-			ids = append(ids, a.id)
-			byID[a.id] = []*ask{a}
-		default:
-			rest = append(rest, a)
-		}
-	}
-	l.waiting, l.flying, l.at = rest, true, c.now
+	ids, byID := l.Begin(c.now, min(4*c.limits().TxnOps, lookupMost))
 	if len(ids) == 1 {
-		c.getEnd(byID[ids[0]], func() { l.flying = false })
+		c.getEnd(byID[ids[0]], l.End)
 		return
 	}
 	var when []Cond
 	for _, id := range ids {
-		when = append(when, Cond{endPrefix + id, 0})
+		when = append(when, kv.At(endPrefix+id, 0))
 	}
 	c.multi(when, nil, func(m Committed) {
-		l.flying = false
+		l.End()
 		for _, id := range ids {
 			asks := byID[id]
 			switch {
@@ -90,10 +71,10 @@
 // lookAgain has requests asked about once more, those that may still wait.
 func (c *Core) lookAgain(asks []*ask) {
 	for _, a := range asks {
-		if a.tries++; c.now-a.since > a.patience()*3/4 || c.stateLost() || len(c.requests.ends.waiting) >= maxWaiting {
+		if a.tries++; c.now-a.since > a.patience()*3/4 || c.stateLost() || c.requests.ends.Waiting() >= maxWaiting {
 			c.refuse(a)
 		} else {
-			c.requests.ends.waiting = append(c.requests.ends.waiting, a)
+			c.requests.ends.Add(a.id, a)
 		}
 	}
 }
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -8,6 +8,7 @@
 
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/core/rates"
 )
 
 // maxEnds bounds the ends kept in memory; older ones are read when asked for.
@@ -31,17 +32,26 @@
 	c.synced = false
 	if !c.listing && c.unfit == "" {
 		c.listing = true
-		c.emit(List{})
+		c.emit(c.listAll())
 	}
 }
 
+// besidesList is how many requests a start takes beside the list.
+const besidesList = 5
+
+// listAll reads everything, at the pace that all controllers can keep at once.
+func (c *Core) listAll() List {
+	each := c.limits().RPS / float64(len(c.set.Peers)+1)
+	return List{AtOnce: max(1, int(each)-besidesList), Gap: rates.Gap(each / 2)}
+}
+
 func (c *Core) onListed(m Listed) {
 	c.listing = false
 	c.stateAnswered(&c.links.Reads, m.Err)
 	if m.Err != nil {
 		c.log.Debug("listing the state failed", "err", m.Err)
 		c.listing = true
-		c.emit(List{}) // the store paces repeats
+		c.emit(c.listAll()) // the store paces repeats
 		return
 	}
 	c.jobs = map[string]*ledger.Job{}
@@ -58,6 +68,7 @@
 	c.dropSweeps()
 	starting := c.applied == 0
 	c.applied = m.Ledger
+	c.recent.Restart(m.Ledger)
 	for _, r := range m.Rows {
 		c.apply(r)
 	}
@@ -66,20 +77,13 @@
 	}
 	c.synced = true
 	c.log.Info("state read", "jobs", len(c.jobs), "revision", m.Ledger)
-	if !c.watching {
-		c.watch()
-	}
+	c.watch()
 	c.resplit()
 	// The pages of the list were read one after the other. What changed
 	// meanwhile comes with a view, and only after it may this controller lead.
 	c.emit(View{After: c.applied})
 }
 
-func (c *Core) watch() {
-	c.watching = true
-	c.emit(Watch{After: c.applied})
-}
-
 func (c *Core) onWatched(m Watched) {
 	if !m.View {
 		c.watching = false
@@ -88,7 +92,9 @@
 	if m.View {
 		side = &c.links.Reads
 	}
-	c.stateAnswered(side, m.Err)
+	if !m.Relayed {
+		c.stateAnswered(side, m.Err)
+	}
 	switch {
 	case m.Gone && c.lead != nil:
 		// A leader takes its own progress from no list, so it begins anew.
@@ -101,11 +107,13 @@
 		for _, ch := range m.Changes {
 			// Two watches may bring the same change.
 			if ch.Stamp > from {
+				c.recent.Append(ch)
 				c.apply(ch)
 			}
 		}
 		c.applied = max(c.applied, m.Ledger)
-		c.observe(m.Changes)
+		c.mirrorAt = max(c.mirrorAt, m.Sent)
+		c.txns.Observe(m.Changes, c.now)
 		if !c.checkFit(false) {
 			return
 		}
@@ -115,7 +123,7 @@
 		}
 		c.checkLeadership(m.Sent)
 	}
-	if !m.View && c.synced {
+	if !m.View {
 		c.watch()
 	}
 	if m.Asked {
--- a/internal/core/observed_test.go
+++ b/internal/core/observed_test.go
@@ -1,6 +1,11 @@
 package core
 
-import "testing"
+import (
+	"github.com/zinclb/zinclb/internal/core/kv"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/core/txn"
+)
 
 // TestObserved: what was read of a transaction counts for its answer, where that is lost:
 // others tell users of it meanwhile, and its writer once wrote it again in vain for
@@ -32,10 +37,10 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t)
 			var got []Committed
-			r.c.multi([]Cond{{"zinclb/x/a", stamp - 10}, {"zinclb/x/b", 0}}, writes, func(m Committed) { got = append(got, m) })
+			r.c.multi([]Cond{kv.At("zinclb/x/a", stamp-10), kv.At("zinclb/x/b", 0)}, writes, func(m Committed) { got = append(got, m) })
 			r.c.out = nil // nobody answers
-			r.c.observe(tc.seen)
-			r.tick(observedWait - 50_000)
+			r.c.txns.Observe(tc.seen, r.c.now)
+			r.tick(txn.AnswerWait - 50_000)
 			if len(got) != 0 {
 				t.Fatal("the answer was given no time")
 			}
@@ -56,10 +61,10 @@
 	}{{200, 200, false}, {409, 409, false}, {503, 503, false}, {0, 200, true}} {
 		r := newRig(t)
 		var got []Committed
-		r.c.multi([]Cond{{"zinclb/x", 0}}, []Write{{Key: "zinclb/x", Value: []byte("1")}}, func(m Committed) { got = append(got, m) })
+		r.c.multi([]Cond{kv.At("zinclb/x", 0)}, []Write{{Key: "zinclb/x", Value: []byte("1")}}, func(m Committed) { got = append(got, m) })
 		r.c.out = nil // nobody answers
-		r.c.observe([]Change{{Key: "zinclb/x", Value: []byte("1"), Stamp: 7}})
-		r.c.ended(Committed{ID: r.c.next, Status: tc.status, Ledger: 9})
+		r.c.txns.Observe([]Change{{Key: "zinclb/x", Value: []byte("1"), Stamp: 7}}, r.c.now)
+		r.c.txns.End(Committed{ID: r.c.next, Status: tc.status, Ledger: 9})
 		r.tick(second)
 		if len(got) != 1 || got[0].Status != tc.want || got[0].Observed != tc.observed {
 			t.Errorf("answered %d: %+v", tc.status, got)
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -147,7 +147,7 @@
 func (c *Core) onOps(m Ops) {
 	c.noteNewest(c.leader)
 	v := &OpsView{Controller: c.set.Name, Leader: c.newest.Name, Token: c.newest.Token, Leading: c.lead != nil, Synced: c.synced,
-		Revision: c.applied, StateAgeS: float64(c.stateAge()) / 1e6, WritesLeft: c.budget.level, Jobs: len(c.jobs), Format: max(c.format.Version, 1), Lowered: c.lowered, Troubles: []string{}}
+		Revision: c.applied, StateAgeS: float64(c.stateAge()) / 1e6, WritesLeft: c.budget.Level(), Jobs: len(c.jobs), Format: max(c.format.Version, 1), Lowered: c.lowered, Troubles: []string{}}
 	for _, j := range c.jobs {
 		if j.Over == "" && j.Waits() {
 			v.Awaiting++
--- a/internal/core/pages.go
+++ b/internal/core/pages.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"github.com/zinclb/zinclb/internal/core/kv"
 	"maps"
 	"slices"
 	"strconv"
@@ -208,7 +209,7 @@
 
 func (w *pageWrites) add(add func(Write, Cond)) {
 	for _, p := range w.pages {
-		add(Write{Key: pageKey(p.n), Value: p.Encode()}, Cond{pageKey(p.n), p.Stamp})
+		add(Write{Key: pageKey(p.n), Value: p.Encode()}, kv.At(pageKey(p.n), p.Stamp))
 	}
 }
 
@@ -236,7 +237,7 @@
 	}
 	for ; g.pages < c.lead.unneeded && room > 0; room-- {
 		p := c.pages[g.pages]
-		add(Write{Key: pageKey(p.n)}, Cond{pageKey(p.n), p.Stamp})
+		add(Write{Key: pageKey(p.n)}, kv.At(pageKey(p.n), p.Stamp))
 		g.pages++
 	}
 	if scarce {
@@ -250,7 +251,7 @@
 			if room <= 0 {
 				return g
 			}
-			add(Write{Key: runKey(id, v)}, Cond{runKey(id, v), ch.Stamp})
+			add(Write{Key: runKey(id, v)}, kv.At(runKey(id, v), ch.Stamp))
 			g.runs[id] = append(g.runs[id], v)
 			room--
 		}
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -134,7 +134,7 @@
 // watchTick reads what a silent watch keeps back: a leader that learned of jobs
 // by it alone would leave them waiting for as long as the connection is held.
 func (c *Core) watchTick() {
-	if !c.synced || c.behind <= c.applied || c.now-c.behindAt < watchLate {
+	if !c.synced || c.behind <= c.applied || c.now-c.behindAt < watchLate || !c.watching {
 		return
 	}
 	c.behindAt = c.now
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -592,10 +592,10 @@
 	if same && c.now-l.boundsWritten < c.set.Ops.Term/2 {
 		return
 	}
-	if c.budget.level < 1 {
+	if c.budget.Level() < 1 {
 		return
 	}
-	c.budget.level--
+	c.budget.Use(1)
 	l.boundsFlying, l.boundsWritten = true, c.now
 	l.boundsSeq++
 	// The leader plans by the new cuts at once: a loan or a moved boundary
--- a/internal/core/proof_test.go
+++ b/internal/core/proof_test.go
@@ -82,7 +82,7 @@
 			r.step(Committed{ID: e.ID, Status: 200, Ledger: r.rev})
 			var news []Change
 			for _, w := range e.Writes {
-				if w.Key == leaderKey || w.Key == tokenKey {
+				if w.Key == LeaderKey || w.Key == tokenKey {
 					news = append(news, Change{Key: w.Key, Value: w.Value, Stamp: r.rev})
 				}
 			}
--- a/internal/core/reaching_test.go
+++ b/internal/core/reaching_test.go
@@ -38,7 +38,7 @@
 	rows := []Change{{Key: tokenKey, Value: encode(tokenValue{5}), Stamp: 3}, {Key: formatKey, Value: encode(formatValue{2, 64}), Stamp: 4},
 		{Key: featuresKey, Value: encode(featuresValue{[]upgrade.Stored{{Name: upgrade.Reach}}}), Stamp: 5}, {Key: typesKey, Value: encode([]fleet.Type{{Name: "c", Zones: []string{"a"}}}), Stamp: 5}}
 	if leader != "n0" {
-		rows = append(rows, Change{Key: leaderKey, Value: encode(leaderValue{Name: leader, Boot: "x", Token: 5, Lease: 8}), Stamp: 6})
+		rows = append(rows, Change{Key: LeaderKey, Value: encode(leaderValue{Name: leader, Boot: "x", Token: 5, Lease: 8}), Stamp: 6})
 	}
 	b.step(Listed{Ledger: 20, Rows: rows})
 	b.run(2 * second)
@@ -144,7 +144,7 @@
 	b.c.lead.mirrored = b.now + 3600*second // what TestKnows has a leader read is not looked at here
 	b.rev += 3                              // others write, and nothing of it comes
 	id := b.c.id()
-	b.c.commit[id] = &transaction{done: func(Committed) {}}
+	b.c.txns.Begin(id, nil, nil, b.now, func(Committed) {})
 	b.step(Committed{ID: id, Status: 409, Ledger: b.rev})
 	b.run(watchLate - 100_000)
 	if v := find[View](b); len(v) != 0 {
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -128,7 +128,7 @@
 
 // crash ends the leader and starts another controller in its place.
 func (w *crowd) crash() {
-	delete(w.stored, leaderKey)
+	delete(w.stored, LeaderKey)
 	w.rev++
 	rows := slices.SortedFunc(maps.Values(w.stored), func(a, b Change) int { return cmp.Compare(a.Key, b.Key) })
 	w.late, w.wait = nil, map[uint64]*hand{}
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"github.com/zinclb/zinclb/internal/core/kv"
 	"slices"
 	"strconv"
 	"strings"
@@ -478,8 +479,8 @@
 	for i, p := range parts {
 		writes = append(writes, Write{Key: key + "/" + strconv.Itoa(i), Value: encode(p)})
 	}
-	c.budget.level -= float64(len(writes))
-	c.multi([]Cond{{key, 0}}, writes, func(m Committed) {
+	c.budget.Use(float64(len(writes)))
+	c.multi([]Cond{kv.At(key, 0)}, writes, func(m Committed) {
 		switch m.Status {
 		case 200:
 			c.emit(Reply{Req: a.req, Status: 201, Sweep: &SweepState{ID: a.id, State: Queued, Runs: head.Runs}})
@@ -496,9 +497,9 @@
 
 // cancelSweep creates the one key that ends a sweep.
 func (c *Core) cancelSweep(a *ask) {
-	c.budget.level--
+	c.budget.Use(1)
 	key := sweepEndPrefix + a.id
-	c.multi([]Cond{{key, 0}}, []Write{{Key: key, Value: encode(sweepEnd{ledger.Cancelled, c.now + c.wallOffset})}}, func(m Committed) {
+	c.multi([]Cond{kv.At(key, 0)}, []Write{{Key: key, Value: encode(sweepEnd{ledger.Cancelled, c.now + c.wallOffset})}}, func(m Committed) {
 		switch m.Status {
 		case 200:
 			c.witness.Note(toldSweep+a.id, m.Ledger)
@@ -707,12 +708,12 @@
 // writes can be spared: users' requests and starts go first.
 func (c *Core) stepSweep(s *sweep, open int) {
 	l := c.lead
-	c.budget.refill(c.now, c.writeRate())
-	spare := int(c.budget.level - c.writeRate()*sweepReserve)
+	c.budget.Refill(c.now, c.allowance.Changes)
+	spare := int(c.budget.Level() - c.allowance.Changes*sweepReserve)
 	if len(c.requests.writes) > 0 || spare < 2 {
 		return
 	}
-	when := []Cond{{leaderKey, l.stamp}, {sweepAtPrefix + s.id, s.at}}
+	when := []Cond{kv.At(LeaderKey, l.stamp), kv.At(sweepAtPrefix+s.id, s.at)}
 	var writes []Write
 	at := sweepAt{Next: s.next}
 	all := len(s.plan.Specs)
@@ -721,11 +722,11 @@
 		at.Closed = true
 	case s.outcome != "" || s.told:
 	case s.next == all && open == 0:
-		when = append(when, Cond{sweepEndPrefix + s.id, 0})
+		when = append(when, kv.At(sweepEndPrefix+s.id, 0))
 		writes = append(writes, Write{Key: sweepEndPrefix + s.id, Value: encode(sweepEnd{ledger.Done, c.now + c.wallOffset})})
 		at.Closed = true
 	default:
-		when = append(when, Cond{sweepEndPrefix + s.id, 0})
+		when = append(when, kv.At(sweepEndPrefix+s.id, 0))
 		size := 0
 		for at.Next < all && at.Next-s.next < min(s.head.Pending-open, spare-1, c.limits().TxnOps-2) {
 			spec := s.plan.Specs[at.Next]
@@ -733,7 +734,7 @@
 			if size += len(v) + 200; size > maxTxnBytes {
 				break
 			}
-			when = append(when, Cond{jobPrefix + spec.ID, 0}, Cond{endPrefix + spec.ID, 0})
+			when = append(when, kv.At(jobPrefix+spec.ID, 0), kv.At(endPrefix+spec.ID, 0))
 			writes = append(writes, Write{Key: jobPrefix + spec.ID, Value: v})
 			at.Next++
 		}
@@ -750,7 +751,7 @@
 	if gone != s.goneStored {
 		writes = append(writes, Write{Key: sweepAtPrefix + s.id + goneKey, Value: encode(sweepGone{packSet(s.gone)})})
 	}
-	c.budget.level -= float64(len(writes))
+	c.budget.Use(float64(len(writes)))
 	s.flying = true
 	counted := s.counted
 	c.multi(when, writes, func(m Committed) {
@@ -838,7 +839,7 @@
 func (c *Core) sweepConflict(l *leadership, s *sweep, failed []string) {
 	for _, key := range failed {
 		switch {
-		case key == leaderKey:
+		case key == LeaderKey:
 			if c.lead == l {
 				c.resolve(l, key)
 			}
--- /dev/null
+++ b/internal/core/txn/txn.go
@@ -0,0 +1,122 @@
+// Package txn keeps the transactions that a controller has under way.
+//
+// The answer to a transaction may be lost although it was carried out. Others then
+// read what it wrote, and tell users, while its writer waits for the answer, gives up
+// and writes it again, in vain. So a writer goes by what it reads as well: if its
+// mirror shows every change of a transaction, all of one revision, it was carried
+// out, by this sending or by an earlier one of the same changes. That proves what is
+// stored, and nothing of when: see kv.Committed.Observed.
+package txn
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/zinclb/zinclb/internal/core/kv"
+)
+
+// AnswerWait is how long the answer to a transaction may take once its changes are
+// seen, in microseconds: the two come by different ways.
+const AnswerWait = 80_000
+
+// Table has the transactions under way. Its zero value is not usable; see New.
+type Table struct {
+	under map[uint64]*transaction
+}
+
+// transaction is one of them.
+type transaction struct {
+	writes []kv.Write
+	begun  int64
+	// after is the newest revision that it is conditional on: what was stored up to
+	// then is something earlier, however alike.
+	after uint64
+	done  func(kv.Committed)
+	// stored is the revision at which its changes were seen, 0 for not yet, and seen
+	// is when.
+	stored uint64
+	seen   int64
+}
+
+// New makes a table without transactions.
+func New() *Table { return &Table{under: map[uint64]*transaction{}} }
+
+// Begin notes a transaction that is sent now; done gets its answer.
+func (t *Table) Begin(id uint64, when []kv.Cond, writes []kv.Write, now int64, done func(kv.Committed)) {
+	x := &transaction{writes: writes, begun: now, done: done}
+	for _, w := range when {
+		x.after = max(x.after, w.Stamp)
+	}
+	t.under[id] = x
+}
+
+// Compares says whether a transaction that is under way changes nothing.
+func (t *Table) Compares(id uint64) bool {
+	x := t.under[id]
+	return x != nil && len(x.writes) == 0
+}
+
+// Unanswered says whether some change has been under way for longer than a time.
+func (t *Table) Unanswered(now, since int64) bool {
+	for _, x := range t.under {
+		if len(x.writes) > 0 && now-x.begun > since {
+			return true
+		}
+	}
+	return false
+}
+
+// Observe looks for transactions whose changes have come.
+func (t *Table) Observe(changes []kv.Change, now int64) {
+	if len(t.under) == 0 || len(changes) == 0 {
+		return
+	}
+	at := map[string][]kv.Change{}
+	for _, ch := range changes {
+		at[ch.Key] = append(at[ch.Key], ch)
+	}
+	has := func(w kv.Write, stamp uint64) bool {
+		return slices.ContainsFunc(at[w.Key], func(ch kv.Change) bool {
+			return ch.Stamp == stamp && ch.Removed == (w.Value == nil) && bytes.Equal(ch.Value, w.Value)
+		})
+	}
+	for _, x := range t.under {
+		if x.stored != 0 || len(x.writes) == 0 {
+			continue
+		}
+		for _, ch := range at[x.writes[0].Key] {
+			if ch.Stamp > x.after && !slices.ContainsFunc(x.writes, func(w kv.Write) bool { return !has(w, ch.Stamp) }) {
+				x.stored, x.seen = ch.Stamp, now
+			}
+		}
+	}
+}
+
+// Overdue are the answers to transactions that are known to be stored and that
+// nobody answers, in the order in which they were sent. They are still under way.
+func (t *Table) Overdue(now int64) (answers []kv.Committed) {
+	var ids []uint64
+	for id, x := range t.under {
+		if x.stored != 0 && now-x.seen >= AnswerWait {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		answers = append(answers, kv.Committed{ID: id, Status: 200, Ledger: t.under[id].stored, Observed: true})
+	}
+	return answers
+}
+
+// End takes the answer to a transaction, or its absence, and tells who waits for it.
+func (t *Table) End(m kv.Committed) {
+	x := t.under[m.ID]
+	if x == nil {
+		return
+	}
+	if m.Status == 0 && x.stored != 0 {
+		m.Status, m.Ledger, m.Observed = 200, x.stored, true
+	}
+	delete(t.under, m.ID)
+	x.done(m)
+}
--- a/internal/core/upgrade/feature.go
+++ b/internal/core/upgrade/feature.go
@@ -20,6 +20,9 @@
 	Sweeps Name = "sweeps"
 	// Reach is what each controller says that it reaches.
 	Reach Name = "reach"
+	// SharedReads: the leader reads the state service for the others, and all keep
+	// to shares of what it allows.
+	SharedReads Name = "shared-reads"
 )
 
 // Feature is something that changes what is stored, or what controllers do with
@@ -36,6 +39,8 @@
 	// Keys are the beginnings of the keys, without the prefix of all, that only
 	// it writes.
 	Keys []string
+	// Messages: it stores nothing, and changes what controllers ask of each other.
+	Messages bool
 	// Ignored: a program without it ignores its keys and may serve beside it,
 	// and come back when it is on. A feature that is not ignored is needed from
 	// then on: a program without it does not start.
@@ -52,13 +57,14 @@
 }
 
 // This is this program. To add a feature: give it a name above and a row here,
-// ask Enabled wherever its keys or fields are written, list its keys, and add
-// its values to the recorded ones.
+// ask Enabled wherever its keys or fields are written or its messages are sent, list
+// its keys, and add its values to the recorded ones.
 func This() Program {
-	return Program{Version: 4, Features: []Feature{
+	return Program{Version: 5, Features: []Feature{
 		{Name: Log, Since: 2, Format: 2, Keys: []string{"log/"}},
 		{Name: Sweeps, Since: 3, Format: 3, Needs: []Name{Log}, Keys: []string{"sweep"}, Chosen: true},
 		{Name: Reach, Since: 4, Needs: []Name{Log}, Keys: []string{"reach/"}, Ignored: true},
+		{Name: SharedReads, Since: 5, Needs: []Name{Reach}, Messages: true, Ignored: true},
 	}}
 }
 
--- a/internal/core/upgrade/latch.go
+++ b/internal/core/upgrade/latch.go
@@ -291,6 +291,33 @@
 	return out
 }
 
+// Present counts the controllers that are members and have a feature, without the
+// leader, and those that are members and do not have it.
+func (l *Latch) Present(n Name, leader string) (present, without int) {
+	f := l.program.find(n)
+	for _, name := range l.names {
+		m := l.members[name]
+		switch {
+		case m.stamp == 0:
+		case f == nil || !m.word.has(f):
+			without++
+		case name != leader:
+			present++
+		}
+	}
+	return present, without
+}
+
+// MemberFor is for how long this controller has seen its own word stored, 0 if it is
+// not.
+func (l *Latch) MemberFor(now int64) int64 {
+	m := l.members[l.self]
+	if m.stamp == 0 {
+		return 0
+	}
+	return now - m.seen
+}
+
 // Words are the controllers' words that are there.
 func (l *Latch) Words() map[string]Word {
 	out := map[string]Word{}
--- a/internal/core/upgrade/latch_test.go
+++ b/internal/core/upgrade/latch_test.go
@@ -40,7 +40,8 @@
 		{"nothing is known of n1", 1, nil, func(*Latch) {}, "", "n1 has not said what it can"},
 		{"log first", 1, nil, func(l *Latch) { l.Said("n1", word(This()), 2, 5) }, Log, "it needs log"},
 		{"then reach", 2, nil, func(l *Latch) { l.Said("n1", word(This()), 2, 5) }, Reach, ""},
-		{"all is on", 2, []Stored{{Name: Reach}}, func(l *Latch) { l.Said("n1", word(This()), 2, 5) }, "", ""},
+		{"then shared reads", 2, []Stored{{Name: Reach}}, func(l *Latch) { l.Said("n1", word(This()), 2, 5) }, SharedReads, ""},
+		{"all is on", 2, []Stored{{Name: Reach}, {Name: SharedReads}}, func(l *Latch) { l.Said("n1", word(This()), 2, 5) }, "", ""},
 		{"n1 is older", 2, nil, func(l *Latch) { l.Said("n1", word(older()), 2, 5) }, "", "n1 does not have it"},
 		{"an older one may have the log", 1, nil, func(l *Latch) { l.Said("n1", word(older()), 2, 5) }, Log, "n1 does not have it"},
 		{"n1 holds it back", 2, nil, func(l *Latch) { l.Said("n1", word(This(), Reach), 2, 5) }, "", "n1 holds it back"},
@@ -134,7 +135,7 @@
 				t.Errorf("%s needs %s, which does not come before it", f.Name, n)
 			}
 		}
-		if f.Since > p.Version || len(f.Keys) == 0 {
+		if f.Since > p.Version || (len(f.Keys) == 0) != f.Messages {
 			t.Errorf("%s: since %d, keys %v", f.Name, f.Since, f.Keys)
 		}
 	}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"github.com/zinclb/zinclb/internal/core/kv"
 	"slices"
 	"strings"
 
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
+	"github.com/zinclb/zinclb/internal/core/rates"
+	"github.com/zinclb/zinclb/internal/core/reads"
 )
 
 // Deadlines of users' requests, below what users wait for an answer.
@@ -33,6 +36,10 @@
 	// sweep is a submitted one; after and most say which runs are asked for.
 	sweep       *SubmitSweep
 	after, most int
+	// revision is what a follower has that asks for a view, need how many changes
+	// it lacks.
+	revision uint64
+	need     int
 }
 
 type askKind uint8
@@ -41,6 +48,7 @@
 	askStatus askKind = iota
 	askSubmit
 	askCancel
+	askView // another controller asks what is stored
 	// All from here on are about sweeps.
 	askSweepSubmit
 	askSweepStatus
@@ -51,12 +59,9 @@
 // requests serves the users: it shares one read of the moment among all requests
 // that wait for one, and holds writes back while the budget is used up.
 type requests struct {
-	waiting []*ask // for the next view
-	viewing []*ask // for the view under way
-	inView  bool
-	viewAt  int64
-	writes  []*ask
-	ends    lookup
+	views  reads.Batch[*ask]
+	writes []*ask
+	ends   reads.Lookup[*ask] // by the job's id
 	// inFlight has, for each job that a write is under way about, the requests that
 	// wait for what it makes true: a user who repeats one is to cost no more.
 	inFlight map[string][]*ask
@@ -185,43 +190,51 @@
 
 // wait queues a request for the next view of the state.
 func (c *Core) wait(a *ask) {
-	if !c.synced || c.stateLost() && a.tries == 0 || len(c.requests.waiting) >= maxWaiting {
+	if !c.synced || c.stateLost() && a.tries == 0 || c.requests.views.Waiting() >= maxWaiting {
 		c.refuse(a)
 		return
 	}
-	c.requests.waiting = append(c.requests.waiting, a)
+	c.requests.views.Add(a)
 	c.viewNow()
 }
 
-// viewGap paces the views, which cost the state service a request each.
-func (c *Core) viewGap() int64 {
-	return int64(1e6 / (c.limits().RPS * 0.06))
+// viewNow asks what is stored for those that wait to know, the leader or else the
+// state service, which allows only so many reads. A follower's question costs no
+// request, and the leader paces its own.
+func (c *Core) viewNow() {
+	v := &c.requests.views
+	source := c.viewSource()
+	gap := rates.Gap(c.allowance.Views)
+	if source != "" {
+		gap = askViewGap
+	}
+	if !c.synced || !v.Due(c.now, gap) || source == "" && !c.reading.Take() {
+		return
+	}
+	c.beginView(source)
 }
 
-func (c *Core) viewNow() {
-	d := &c.requests
-	if d.inView || len(d.waiting) == 0 || !c.synced || c.now-d.viewAt < c.viewGap() {
+// beginView asks now, for all that wait, who may be none.
+func (c *Core) beginView(source string) {
+	c.requests.views.Begin(c.now)
+	if source == "" {
+		c.emit(View{After: c.applied, Asked: true})
 		return
 	}
-	d.inView, d.viewAt = true, c.now
-	d.viewing, d.waiting = d.waiting, nil
-	c.emit(View{After: c.applied, Asked: true})
+	c.emit(AskView{To: source, After: c.applied, Number: c.follower.Ask(), Need: c.lackingChanges()})
 }
 
 func (c *Core) onView(ok bool) {
-	d := &c.requests
-	if !d.inView {
+	v := &c.requests.views
+	if !v.Busy() {
 		return
 	}
-	d.inView = false
-	asks := d.viewing
-	d.viewing = nil
-	for _, a := range asks {
+	for _, a := range v.End() {
 		switch {
 		case ok:
 			c.resume(a)
 		case c.now-a.since < askPatience/2 && c.synced:
-			d.waiting = append(d.waiting, a)
+			v.Add(a)
 		default:
 			c.refuse(a)
 		}
@@ -249,6 +262,10 @@
 		c.resumeSweep(a)
 		return
 	}
+	if a.kind == askView {
+		c.showView(a)
+		return
+	}
 	if e, ok := c.ends[a.id]; ok {
 		c.answerEnd(a.req, a.id, e)
 		return
@@ -284,7 +301,7 @@
 
 func (c *Core) writeNow() {
 	d := &c.requests
-	c.budget.refill(c.now, c.writeRate())
+	c.budget.Refill(c.now, c.allowance.Changes)
 	for len(d.writes) > 0 {
 		a := d.writes[0]
 		if c.now-a.since > commitPatience {
@@ -296,27 +313,35 @@
 			d.writes = d.writes[1:]
 			continue
 		}
-		// Users come before placements, so they may use what the leader's
-		// own writes keep back, and some of what it will have.
-		if c.budget.level < 1 && (c.lead == nil || c.budget.level < 1-c.writeRate()/4) {
+		if c.budget.Level() < c.usersLeast() {
 			return
 		}
 		d.writes = d.writes[1:]
 		switch a.kind {
 		case askSubmit:
-			c.budget.level--
+			c.budget.Use(1)
 			c.create(a)
 		case askSweepSubmit:
 			c.createSweep(a)
 		case askSweepCancel:
 			c.cancelSweep(a)
 		default:
-			c.budget.level -= 2
+			c.budget.Use(2)
 			c.cancel(a)
 		}
 	}
 }
 
+// usersLeast is the least budget with which a user's request is written. Users come
+// before placements, so they may use what the leader's own writes keep back, and some
+// of what it will have.
+func (c *Core) usersLeast() float64 {
+	if c.lead == nil {
+		return 1
+	}
+	return 1 - c.allowance.Changes/4
+}
+
 func (c *Core) create(a *ask) {
 	job := jobPrefix + a.id
 	value := ledger.Record{Spec: a.spec, Submitted: a.since + c.wallOffset}.Value(0)
@@ -326,7 +351,7 @@
 		return
 	}
 	c.requests.inFlight[a.id] = nil
-	c.multi([]Cond{{job, 0}, {endPrefix + a.id, 0}}, []Write{{Key: job, Value: value}}, func(m Committed) {
+	c.multi([]Cond{kv.At(job, 0), kv.At(endPrefix+a.id, 0)}, []Write{{Key: job, Value: value}}, func(m Committed) {
 		defer c.resumeCoalesced(a.id)
 		switch m.Status {
 		case 200:
@@ -368,7 +393,7 @@
 	e := c.end(ledger.Cancelled, j)
 	stamp := j.Stamp
 	c.requests.inFlight[a.id] = nil
-	c.multi([]Cond{{jobPrefix + a.id, stamp}, {endPrefix + a.id, 0}}, []Write{
+	c.multi([]Cond{kv.At(jobPrefix+a.id, stamp), kv.At(endPrefix+a.id, 0)}, []Write{
 		{Key: endPrefix + a.id, Value: encode(e)},
 		{Key: jobPrefix + a.id, Value: c.overRecord(j, ledger.Cancelled)},
 	}, func(m Committed) {
@@ -438,19 +463,24 @@
 
 func (c *Core) requestsTick() {
 	d := &c.requests
-	if !c.synced && len(d.waiting) > 0 {
-		for _, a := range d.waiting {
+	if !c.synced {
+		for _, a := range d.views.Drop() {
 			c.refuse(a)
 		}
-		d.waiting = nil
 	}
 	c.writeNow()
 	c.viewNow()
 	c.lookNow()
-	if c.stateLost() && c.synced && !d.inView && c.now-d.viewAt > second/2 {
+	if !c.synced || d.views.Busy() {
+		return
+	}
+	source, age := c.viewSource(), d.views.Age(c.now)
+	switch {
+	case c.stateLost() && age > second/2:
 		// Requests are refused meanwhile, so something has to find out
 		// when the state service answers again.
-		d.inView, d.viewAt = true, c.now
-		c.emit(View{After: c.applied, Asked: true})
+		c.beginView("")
+	case source != "" && (c.follower.Due(c.now, age) || c.awaitsNews() && age > newsGap || c.lackingChanges() > 0):
+		c.beginView(source)
 	}
 }
--- a/internal/core/version1_test.go
+++ b/internal/core/version1_test.go
@@ -73,7 +73,7 @@
 	for id, e := range c.ends {
 		same(endPrefix+id, encode(e))
 	}
-	same(leaderKey, encode(c.leader))
+	same(LeaderKey, encode(c.leader))
 	same(tokenKey, encode(c.token))
 	same(boundsKey, encode(c.bounds))
 	same(typesKey, encode(c.types))
--- a/internal/emulator/fake/node.go
+++ b/internal/emulator/fake/node.go
@@ -7,6 +7,7 @@
 	"github.com/zinclb/zinclb/internal/api"
 	"github.com/zinclb/zinclb/internal/cloud"
 	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/core/replica"
 	"github.com/zinclb/zinclb/internal/emulator/wire"
 	"github.com/zinclb/zinclb/internal/emulator/world"
 )
@@ -109,6 +110,8 @@
 		return func(req uint64) any { q.Req = req; return q }, nil
 	case core.CloudFor:
 		return func(req uint64) any { q.Req = req; return q }, nil
+	case core.ViewFor:
+		return func(req uint64) any { q.Req = req; return q }, nil
 	case core.HandedSweep:
 		m := core.SubmitSweep{Plan: &core.SweepPlan{ID: q.ID}, Stored: q.Stored, Invalid: q.Invalid, Handed: true}
 		if q.Invalid == "" {
@@ -180,9 +183,16 @@
 	case core.Quit:
 		c.Kill(n)
 	case core.List:
-		n.list(&core.Listed{}, 0, "")
+		n.list(&core.Listed{}, 0, "", e, 0)
 	case core.Watch:
 		n.watch(e.After, watchWait, watchMost, core.Watched{Sent: sent})
+	case core.WatchLeader:
+		n.watchLeader(e)
+	case core.AskView:
+		n.call(e.To, core.ViewFor{After: e.After, Need: e.Need}, replica.AnswerMost, func(status int, body any) {
+			r, err := reply(body)
+			n.step(core.Shown{Number: e.Number, After: e.After, Sent: sent, Answer: r, Err: err})
+		})
 	case core.View:
 		n.watch(e.After, 0, watchMost-watchWait, core.Watched{Sent: sent, View: true, Asked: e.Asked})
 	case core.Multi:
@@ -303,8 +313,15 @@
 	return q
 }
 
-// list reads the start prefixes, page by page.
-func (n *Node) list(out *core.Listed, prefix int, after string) {
+// list reads the start prefixes, page by page, at the pace that is asked for.
+func (n *Node) list(out *core.Listed, prefix int, after string, e core.List, pages int) {
+	if pages == e.AtOnce && prefix < len(core.StartPrefixes) {
+		epoch := n.epoch
+		n.c.After(e.Gap, func() {
+			n.run(epoch, func() { n.list(out, prefix, after, core.List{AtOnce: 1, Gap: e.Gap}, 0) })
+		})
+		return
+	}
 	if prefix == len(core.StartPrefixes) {
 		n.step(*out)
 		return
@@ -324,9 +341,9 @@
 			after = r.Key
 		}
 		if p.More {
-			n.list(out, prefix, after)
+			n.list(out, prefix, after, e, pages+1)
 		} else {
-			n.list(out, prefix+1, "")
+			n.list(out, prefix+1, "", e, pages+1)
 		}
 	})
 }
@@ -351,6 +368,20 @@
 	})
 }
 
+func (n *Node) watchLeader(e core.WatchLeader) {
+	epoch := n.epoch
+	n.call(world.StateHost, wire.Watch{Prefix: core.LeaderKey, After: e.After, WaitMS: watchWait / 1000}, watchMost, func(status int, body any) {
+		a, _ := body.(wire.WatchAnswer)
+		m := core.LeaderWatched{Changed: status == 410 || len(a.News) > 0}
+		if status == 200 || status == 410 {
+			n.step(m)
+			return
+		}
+		m.Err = failed(status)
+		n.c.After(afterError, func() { n.run(epoch, func() { n.step(m) }) })
+	})
+}
+
 func (n *Node) types(f func(core.Types)) {
 	n.call(world.CloudHost, wire.Types{}, cloudMost, func(status int, body any) {
 		t := core.Types{Err: failed(status)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/zinclb/zinclb/internal/cloud"
 	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/core/replica"
 	"github.com/zinclb/zinclb/internal/httpwire"
 	"github.com/zinclb/zinclb/internal/metrics"
 	"github.com/zinclb/zinclb/internal/peer"
@@ -269,9 +270,13 @@
 		case core.Quit:
 			n.quit <- errors.New(e.Why) // once in a process
 		case core.List:
-			go n.list()
+			go n.list(e)
 		case core.Watch:
 			go n.watch(e, n.now())
+		case core.WatchLeader:
+			go n.watchLeader(e)
+		case core.AskView:
+			go n.askView(e, n.now())
 		case core.View:
 			sent := n.now()
 			go func() {
@@ -436,11 +441,18 @@
 	n.tell(core.Forwarded{Req: e.Req, Answer: r, Err: err})
 }
 
-// list reads the start prefixes, and paces repeats after a failure.
-func (n *Node) list() {
+// list reads the start prefixes at the pace that is asked for, and paces repeats
+// after a failure.
+func (n *Node) list(e core.List) {
 	var out core.Listed
+	pages := 0
+	pace := func() {
+		if pages++; pages > e.AtOnce {
+			time.Sleep(time.Duration(e.Gap) * time.Microsecond)
+		}
+	}
 	for i, p := range core.StartPrefixes {
-		rows, ledger, err := n.state.List(p)
+		rows, ledger, err := n.state.List(p, pace)
 		if err != nil {
 			time.Sleep(300 * time.Millisecond)
 			n.tell(core.Listed{Err: err})
@@ -463,6 +475,23 @@
 	n.tell(w)
 }
 
+func (n *Node) watchLeader(e core.WatchLeader) {
+	w := n.watches.Watch(core.LeaderKey, e.After, 10*time.Second)
+	if w.Err != nil {
+		time.Sleep(300 * time.Millisecond)
+	}
+	n.tell(core.LeaderWatched{Changed: w.Gone || len(w.Changes) > 0, Err: w.Err})
+}
+
+// askView asks the leader for what has changed.
+func (n *Node) askView(e core.AskView, sent int64) {
+	shown := core.Shown{Number: e.Number, After: e.After, Sent: sent, Err: errors.New("the leader is no peer")}
+	if p := n.peers[e.To]; p != nil {
+		shown.Err = p.Call("Ask", peer.Ask(core.ViewFor{After: e.After, Need: e.Need}), &shown.Answer, replica.AnswerMost*time.Microsecond)
+	}
+	n.tell(shown)
+}
+
 // workerPool sends orders to workers' own addresses, a bounded number at a
 // time; what does not fit travels with the next report anyway. That can be too
 // late for a gang's orderly stop, of which all tasks must be told within
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,13 +39,15 @@
 }
 
 // AskArgs is a user's request handed on, or a call of the cloud that the sender
-// can't make itself: one of them all. An older controller knows the first three,
-// and answers that the request is empty if it is none of them.
+// can't make itself, or a follower's question: one of them all. An older controller
+// knows the first three or more, and answers that the request is empty if it is none
+// of them.
 type AskArgs struct {
 	Submit *core.Submit
 	Status *core.Status
 	Cancel *core.Cancel
 	Cloud  *core.CloudFor
+	View   *core.ViewFor
 
 	Sweep       *core.HandedSweep
 	SweepStatus *core.SweepStatus
@@ -64,6 +66,8 @@
 		a.Status = &r
 	case core.CloudFor:
 		a.Cloud = &r
+	case core.ViewFor:
+		a.View = &r
 	case core.HandedSweep:
 		a.Sweep = &r
 	case core.SweepStatus:
@@ -92,6 +96,9 @@
 	case a.Cloud != nil:
 		a.Cloud.Req = req
 		return *a.Cloud
+	case a.View != nil:
+		a.View.Req = req
+		return *a.View
 	case a.SweepStatus != nil:
 		a.SweepStatus.Req = req
 		return *a.SweepStatus
@@ -195,6 +202,10 @@
 	return &Client{addr: addr, slot: make(chan struct{}, calls)}
 }
 
+// proves is how long a connection has to be silent to be given up. A call that waits
+// for less says nothing of the others on it.
+const proves = time.Second
+
 var errLate = errors.New("peer did not answer in time")
 var errFull = errors.New("too many calls to the peer under way")
 
@@ -260,7 +271,7 @@
 		}
 		return call.Error
 	case <-t.C:
-		if p.quiet(begun) {
+		if timeout >= proves && p.quiet(begun) {
 			p.drop(c)
 		}
 		return errLate
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -40,15 +40,17 @@
 	Stamp uint64          `json:"stamp"`
 }
 
-// List reads all keys of a prefix, page by page. The revision returned is
-// that of the first page, so that watching from it misses nothing.
-func (c *Client) List(prefix string) (rows []core.Change, ledger uint64, err error) {
+// List reads all keys of a prefix, page by page; pace is called before each. The
+// revision returned is that of the first page, so that watching from it misses
+// nothing.
+func (c *Client) List(prefix string, pace func()) (rows []core.Change, ledger uint64, err error) {
 	after := ""
 	for page := 0; ; page++ {
 		target := "/kv?starts=" + url.QueryEscape(prefix) + "&most=500"
 		if after != "" {
 			target += "&after=" + url.QueryEscape(after)
 		}
+		pace()
 		m, err := c.http.Do("GET", target, nil, 5*time.Second)
 		if err != nil {
 			return nil, 0, err
