--- a/internal/core/rates/rates.go
+++ b/internal/core/rates/rates.go
@@ -53,8 +53,10 @@
 
 // The parts of what the state service allows.
 const (
-	// leaseRequests are what a controller needs for its lease.
+	// leaseRequests are what a controller needs for its lease, leaderWrites the
+	// leader for its transactions, of which one is under way at a time.
 	leaseRequests = 1.4
+	leaderWrites  = 20
 	// leaderChanges is the share of the changes that only the leader makes, and
 	// leaderReads its share of the reads.
 	leaderChanges = 0.75
@@ -79,7 +81,7 @@
 	others := float64(m.All - 1)
 	changes := l.Changes * (1 - leaderChanges)
 	// Each change may be a transaction of its own.
-	reads := max(l.Requests-leaseRequests*float64(m.All)-changes, leastReads*l.Requests)
+	reads := max(l.Requests-leaseRequests*float64(m.All)-leaderWrites-changes, leastReads*l.Requests)
 	if !m.Led {
 		// Nobody uses the leader's part, and all see at once when somebody begins to.
 		even := 1 / float64(m.All)
--- /dev/null
+++ b/internal/core/replica/replica_test.go
@@ -0,0 +1,105 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/zinclb/zinclb/internal/core/kv"
+)
+
+// TestFollower: whom a follower asks, and what counts as an answer.
+func TestFollower(t *testing.T) {
+	const start = 100 * second
+	ask := func(f *Follower, ok bool, now int64) bool { return f.Ended(f.Ask(), ok, now) }
+	cases := []struct {
+		name    string
+		do      func(f *Follower)
+		at      int64
+		source  string
+		follows bool
+	}{
+		{"nobody leads", func(f *Follower) { f.Led("", 0) }, 0, "", false},
+		{"not asked yet", func(*Follower) {}, 0, "n1", false},
+		{"answered", func(f *Follower) { ask(f, true, start) }, second, "n1", true},
+		{"answered long ago", func(f *Follower) { ask(f, true, start) }, 3 * second, "n1", false},
+		{"failed", func(f *Follower) { ask(f, false, start) }, second / 2, "", false},
+		{"failed a while ago", func(f *Follower) { ask(f, false, start) }, second, "n1", false},
+		{"failed twice", func(f *Follower) { ask(f, false, start-second); ask(f, false, start) }, 2*second - 1, "", false},
+		{"failed often", func(f *Follower) {
+			for range 20 {
+				ask(f, false, start)
+			}
+		}, mostPause, "n1", false},
+		{"failed after an answer", func(f *Follower) { ask(f, true, start); ask(f, false, start) }, 0, "", false},
+		{"another leads since", func(f *Follower) { ask(f, false, start); f.Led("n2", 6) }, 0, "n2", false},
+		{"another led, and the first again", func(f *Follower) { ask(f, true, start); f.Led("n2", 6); f.Led("n1", 7) }, 0, "n1", false},
+		{"the same leads anew", func(f *Follower) { ask(f, true, start); f.Led("n1", 8) }, 0, "n1", false},
+	}
+	for _, tc := range cases {
+		f := &Follower{}
+		f.Led("n1", 5)
+		tc.do(f)
+		if got := f.Source(start + tc.at); got != tc.source {
+			t.Errorf("%s: asks %q, want %q", tc.name, got, tc.source)
+		}
+		if got := f.Follows(start + tc.at); got != tc.follows {
+			t.Errorf("%s: follows: %v", tc.name, got)
+		}
+	}
+}
+
+// TestEnded: late answers and repeated ones count for nothing.
+func TestEnded(t *testing.T) {
+	f := &Follower{}
+	f.Led("n1", 5)
+	first := f.Ask()
+	if !f.Ended(first, false, 1) || f.Ended(first, true, 2) || f.Ended(0, true, 2) {
+		t.Error("a late answer counts")
+	}
+	second := f.Ask()
+	if f.Ended(first, true, 3) || !f.Ended(second, true, 3) || f.Ended(second, true, 4) {
+		t.Error("a repeated answer counts")
+	}
+}
+
+// TestLog compares the changes that are shown with all that there were.
+func TestLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log Log
+		var all []kv.Change
+		rev := uint64(rapid.IntRange(0, 5).Draw(t, "start"))
+		log.Restart(rev)
+		start := rev
+		size := rapid.SampledFrom([]int{1, 500, 60_000}).Draw(t, "size")
+		for range rapid.IntRange(0, 200).Draw(t, "transactions") {
+			rev += uint64(rapid.IntRange(1, 3).Draw(t, "step"))
+			for k := range rapid.IntRange(1, 4).Draw(t, "changes") {
+				c := kv.Change{Key: fmt.Sprint("k", k), Value: make([]byte, size), Stamp: rev}
+				all = append(all, c)
+				log.Append(c)
+			}
+		}
+		if log.bytes > logBytes+4*(size+100) || len(log.changes) > logMost {
+			t.Fatalf("%d bytes, %d changes", log.bytes, len(log.changes))
+		}
+		after := uint64(rapid.IntRange(0, int(rev)+1).Draw(t, "after"))
+		got, ok := log.Since(after)
+		if !ok {
+			if after >= start && size == 1 && len(all) < 100 {
+				t.Fatalf("revision %d is forgotten", after)
+			}
+			return
+		}
+		want := 0
+		for _, c := range all {
+			if c.Stamp > after {
+				want++
+			}
+		}
+		if len(got) != want {
+			t.Fatalf("%d changes after %d, want %d", len(got), after, want)
+		}
+	})
+}
--- a/internal/core/sched/sched.go
+++ b/internal/core/sched/sched.go
@@ -190,6 +190,9 @@
 	fetching map[string][]*Machine
 	found    []candidate // kept for its room, as at is
 	at       []int64
+	// candidates and slots are kept for their room too.
+	candidates []Run
+	slots      slots
 }
 
 // order is figure 2's: high priority first, each by arrival; with the
@@ -610,7 +613,7 @@
 	if j.Kind == ledger.Gang {
 		n = j.Unplaced() - j.planned
 	}
-	var opts slots
+	opts := p.slots[:0]
 	for _, g := range p.Index.groups {
 		if !j.allows(g.Class) || j.shuns(g.Class) || j.OneZone && !zoneFits(j, g.Zone, j.ZoneOf) {
 			continue
@@ -622,6 +625,7 @@
 			return true
 		})
 	}
+	p.slots = opts
 	heap.Init(&opts)
 	perZone := map[string][]slot{}
 	zones := map[string]int{}
@@ -700,8 +704,9 @@
 			n = j.Unplaced() - j.planned
 		}
 		type option struct {
-			m     *Machine
-			stops []Run
+			m *Machine
+			// stops: work is stopped on it; lost is what that costs.
+			stops bool
 			lost  int64
 		}
 		byZone := map[string][]option{}
@@ -715,15 +720,15 @@
 			claimed := m.claimedFor(j)
 			o := option{m: m}
 			if !j.Need.Fits(m.Free) {
-				if stops, lost, ok := p.victims(j, m); ok {
-					o.stops, o.lost = stops, lost
+				if _, lost, ok := p.victims(j, m); ok {
+					o.stops, o.lost = true, lost
 				} else if !claimed {
 					return
 				}
 			} else if !p.harmless(m, j, p.Now+j.lengthOn(m)) {
 				return
 			}
-			if !claimed || len(o.stops) > 0 {
+			if !claimed || o.stops {
 				// Room without the image is worth as much less.
 				o.lost += j.fetch(m) * j.Need.Weight()
 			}
@@ -747,11 +752,15 @@
 				best, least = opts[:n], sum
 			}
 		}
-		if !slices.ContainsFunc(best, func(o option) bool { return len(o.stops) > 0 }) {
+		if !slices.ContainsFunc(best, func(o option) bool { return o.stops }) {
 			continue
 		}
 		for _, o := range best {
-			p.makeRoom(j, o.m, o.stops)
+			var stops []Run
+			if o.stops {
+				stops, _, _ = p.victims(j, o.m)
+			}
+			p.makeRoom(j, o.m, stops)
 		}
 	}
 }
@@ -775,31 +784,37 @@
 // imminent is how far off a start may be for which stopping work is no use.
 const imminent = 2_000_000
 
-// victims finds what to stop on m for one task of j.
+// victims finds what to stop on m for one task of j. What it returns is valid until
+// it is called again: it is asked about every machine for every pivot, and few of its
+// answers are used.
 func (p *Planner) victims(j *Job, m *Machine) (stops []Run, lost int64, ok bool) {
-	free := m.Free
-	var cand []Run
+	candidates, most := p.candidates[:0], m.Free
 	for _, r := range p.runs(m) {
-		if !r.Stoppable {
-			continue
-		}
-		over := j.Guaranteed && !r.Guaranteed && r.Job.Team != j.Team && p.TeamOver != nil && p.TeamOver(r.Job.Team, r.Job.Need)
-		if r.Job.Rank < j.Rank || over {
-			cand = append(cand, r)
+		if r.Stoppable && (r.Job.Rank < j.Rank || p.overGuarantee(j, r)) {
+			candidates = append(candidates, r)
+			most = most.Add(r.Job.Need)
 		}
 	}
-	slices.SortStableFunc(cand, func(a, b Run) int {
+	p.candidates = candidates
+	if len(candidates) == 0 || !j.Need.Fits(most) {
+		return nil, 0, false
+	}
+	slices.SortStableFunc(candidates, func(a, b Run) int {
 		return cmp.Or(cmp.Compare(a.Job.Rank, b.Job.Rank), cmp.Compare(a.Lost, b.Lost))
 	})
-	for _, r := range cand {
-		if j.Need.Fits(free) {
-			break
-		}
-		free = free.Add(r.Job.Need)
-		stops = append(stops, r)
-		lost += r.Lost
+	free, n := m.Free, 0
+	for n < len(candidates) && !j.Need.Fits(free) {
+		free = free.Add(candidates[n].Job.Need)
+		lost += candidates[n].Lost
+		n++
 	}
-	return stops, lost, j.Need.Fits(free) && len(stops) > 0
+	return candidates[:n], lost, n > 0
+}
+
+// overGuarantee says that j is within its team's guarantee, and that r is what another
+// team runs beyond its own.
+func (p *Planner) overGuarantee(j *Job, r Run) bool {
+	return j.Guaranteed && !r.Guaranteed && r.Job.Team != j.Team && p.TeamOver != nil && p.TeamOver(r.Job.Team, r.Job.Need)
 }
 
 // kills says whether work is stopped for j without saving: an urgent job waits
@@ -910,7 +925,7 @@
 			delay = max(delay, swapDelay+r.Job.Save)
 		}
 	}
-	return stops, delay, true
+	return slices.Clone(stops), delay, true
 }
 
 // makeRoom plans to stop tasks on m for j, and claims what comes free.
--- /dev/null
+++ b/internal/emulator/capacity/page.go
@@ -0,0 +1,349 @@
+package capacity
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/zinclb/zinclb/internal/emulator/scale"
+)
+
+// The names of files of runs begin with what was measured.
+const (
+	Before = "before-"
+	After  = "after-"
+)
+
+// Run is a run's figures with the name of their file.
+type Run struct {
+	Name string
+	*scale.Figures
+}
+
+// LoadRuns reads all figures of a directory whose names begin with a prefix, the
+// smallest deployment first. Runs that the machine limited are no figures.
+func LoadRuns(dir, prefix string) ([]Run, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, prefix+"*.json"))
+	if err != nil {
+		return nil, fmt.Errorf("look for runs: %w", err)
+	}
+	var runs []Run
+	for _, path := range paths {
+		f, err := scale.Load(path)
+		if err != nil {
+			return nil, err
+		}
+		if f.Limited == "" {
+			runs = append(runs, Run{strings.TrimSuffix(filepath.Base(path), ".json"), f})
+		}
+	}
+	if len(runs) == 0 {
+		return nil, fmt.Errorf("%s: no run is called %s*.json", dir, prefix)
+	}
+	slices.SortFunc(runs, func(a, b Run) int {
+		return cmp.Or(cmp.Compare(a.Plan.Workers, b.Plan.Workers), cmp.Compare(a.Plan.Controllers, b.Plan.Controllers), cmp.Compare(a.Name, b.Name))
+	})
+	return runs, nil
+}
+
+// Cost is a number of a role that the page tells.
+type Cost struct {
+	Name, Unit string
+	Role       string
+	Of         func(r scale.Role) float64
+}
+
+// costs are those that are fitted.
+var costs = []Cost{
+	{"leader, processor", "core", scale.RoleLeader, func(r scale.Role) float64 { return r.CPU }},
+	{"leader, memory", "MB", scale.RoleLeader, func(r scale.Role) float64 { return r.Memory }},
+	{"leader, peers", "KB/s", scale.RoleLeader, func(r scale.Role) float64 { return peerKB(r) }},
+	{"leader, state service", "requests/s", scale.RoleLeader, func(r scale.Role) float64 { return r.Total("state ").Messages }},
+	{"leader, changes", "changes/s", scale.RoleLeader, func(r scale.Role) float64 { return r.Total("state ").Changes }},
+	{"stand-by, processor", "core", scale.RoleStandBy, func(r scale.Role) float64 { return r.CPU }},
+	{"stand-by, memory", "MB", scale.RoleStandBy, func(r scale.Role) float64 { return r.Memory }},
+	{"stand-by, peers", "KB/s", scale.RoleStandBy, func(r scale.Role) float64 { return peerKB(r) }},
+	{"stand-by, state service", "requests/s", scale.RoleStandBy, func(r scale.Role) float64 { return r.Total("state ").Messages }},
+	{"holder of a partition, processor", "core", scale.RoleBusiest, func(r scale.Role) float64 { return r.CPU }},
+	{"holder of a partition, reports", "reports/s", scale.RoleBusiest, func(r scale.Role) float64 { return r.Kinds["report"].Messages }},
+	{"state service, requests", "requests/s", scale.RoleState, func(r scale.Role) float64 { return r.Total("state ").Messages }},
+	{"state service, changes", "changes/s", scale.RoleState, func(r scale.Role) float64 { return r.Total("state ").Changes }},
+	{"state service, bodies", "KB/s", scale.RoleState, func(r scale.Role) float64 {
+		t := r.Total("state ")
+		return (t.BytesIn + t.BytesOut) / 1000
+	}},
+	{"a worker, reports", "bytes/s", scale.RoleHollow, workerBytes},
+	{"a worker alone, reports", "bytes/s", scale.RoleAlone, workerBytes},
+	{"a worker alone, processor", "core", scale.RoleAlone, func(r scale.Role) float64 { return r.CPU }},
+	{"a worker alone, memory", "MB", scale.RoleAlone, func(r scale.Role) float64 { return r.Memory }},
+}
+
+func peerKB(r scale.Role) float64 {
+	p := r.Kinds["peer"]
+	return (p.BytesIn + p.BytesOut) / 1000
+}
+
+func workerBytes(r scale.Role) float64 {
+	p := r.Kinds["report"]
+	return p.BytesIn + p.BytesOut
+}
+
+// points are a cost in all windows of some runs.
+func (c *Cost) points(runs []Run, windows ...string) (points []Point) {
+	for _, r := range runs {
+		for _, name := range windows {
+			w, ok := r.Windows[name]
+			if !ok {
+				continue
+			}
+			if role, ok := w.Roles[c.Role]; ok {
+				points = append(points, Point{loadOf(r.Figures, w), c.Of(role)})
+			}
+		}
+	}
+	return points
+}
+
+// number prints a number with three digits that matter.
+func number(v float64) string {
+	switch a := math.Abs(v); {
+	case math.IsNaN(v):
+		return ""
+	case v == 0:
+		return "0"
+	case a >= 100:
+		return fmt.Sprintf("%.0f", v)
+	case a >= 10:
+		return fmt.Sprintf("%.1f", v)
+	case a >= 0.01:
+		return fmt.Sprintf("%.3g", v)
+	default:
+		return fmt.Sprintf("%.1e", v)
+	}
+}
+
+// slopesTable has the fitted costs.
+func slopesTable(runs []Run) (string, error) {
+	var b strings.Builder
+	b.WriteString("| cost | unit | intercept |")
+	for _, n := range factorNames {
+		fmt.Fprintf(&b, " per %s |", n)
+	}
+	b.WriteString(" largest residual | R² | at the plan's size |\n|" + strings.Repeat(" --- |", 6+len(factorNames)) + "\n")
+	for _, c := range costs {
+		m, err := Fit(c.points(runs, scale.WindowPeak, scale.WindowSteady))
+		if err != nil {
+			return "", fmt.Errorf("%s: %w", c.Name, err)
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s |", c.Name, c.Unit, number(m.Intercept))
+		for _, s := range m.Slopes {
+			fmt.Fprintf(&b, " %s |", number(s))
+		}
+		fmt.Fprintf(&b, " %s | %.2f | %s |\n", number(m.Residual), m.R2, number(m.At(PlanLoad)))
+	}
+	return b.String(), nil
+}
+
+// sized are the runs of the plan at all its sizes.
+func sized(runs []Run) (l []Run) {
+	for _, r := range runs {
+		usual := scale.Default(r.Plan.Workers)
+		if len(r.Plan.Lose) == 0 && r.Plan.FaultsTimes == 0 && r.Plan.Controllers == usual.Controllers && r.Plan.Teams == usual.Teams && r.Plan.Zones == usual.Zones && r.Plan.Running == usual.Running && r.Plan.Starts == usual.Starts {
+			l = append(l, r)
+		}
+	}
+	return l
+}
+
+// sizesTable has each cost at each size, and what the smaller ones predict for the
+// largest.
+func sizesTable(runs []Run, window string) (string, error) {
+	l := sized(runs)
+	if len(l) < 3 {
+		return "", errors.New("fewer than three sizes were played")
+	}
+	largest := l[len(l)-1]
+	var b strings.Builder
+	fmt.Fprintf(&b, "| cost, %s | unit |", window)
+	for _, r := range l {
+		fmt.Fprintf(&b, " %d workers |", r.Plan.Workers)
+	}
+	fmt.Fprintf(&b, " predicted for %d | measured less predicted |\n|%s\n", largest.Plan.Workers, strings.Repeat(" --- |", 4+len(l)))
+	for _, c := range costs {
+		points := c.points(l, window)
+		if len(points) != len(l) {
+			continue
+		}
+		last := points[len(points)-1]
+		predicted := FitLine(points[:len(points)-1]).At(last.Load.Workers)
+		fmt.Fprintf(&b, "| %s | %s |", c.Name, c.Unit)
+		for _, p := range points {
+			fmt.Fprintf(&b, " %s |", number(p.Value))
+		}
+		fmt.Fprintf(&b, " %s | %s |\n", number(predicted), number(last.Value-predicted))
+	}
+	return b.String(), nil
+}
+
+// runsTable has what each run showed as a whole.
+func runsTable(runs []Run) string {
+	var b strings.Builder
+	b.WriteString("| run | workers | controllers | zones | teams | starts/s at the peak | requests/s | refused/s | stand-by's requests/s | urgent within 1.2 s | urgent p95 s | gangs within 30 s | polls p95 ms | timers late p99 ms | breaches |\n|" + strings.Repeat(" --- |", 15) + "\n")
+	for _, r := range runs {
+		w := r.Windows[scale.WindowPeak]
+		state := w.Roles[scale.RoleState].Total("state ")
+		fmt.Fprintf(&b, "| %s | %d | %d | %d | %d | %s | %s | %s | %s | %.3f | %s | %.3f | %s | %s | %d |\n", r.Name, r.Plan.Workers, r.Plan.Controllers, r.Plan.Zones, r.Plan.Teams,
+			number(w.Starts), number(state.Messages), number(state.Refused), number(w.Roles[scale.RoleStandBy].Total("state ").Messages),
+			r.Urgent.Share, number(r.Urgent.P95), r.Gangs.Share, number(r.Poll.P95), number(r.Late.P99), len(r.Broken))
+	}
+	return b.String()
+}
+
+// kindsTable has the state service's requests by kind, before and after, at the
+// largest size that was played of both.
+func kindsTable(before, after []Run) (string, error) {
+	x, y := sized(before), sized(after)
+	if len(x) == 0 || len(y) == 0 {
+		return "", errors.New("no run of the plan's shape was played")
+	}
+	old, now := x[len(x)-1], y[len(y)-1]
+	var b strings.Builder
+	fmt.Fprintf(&b, "| requests/s at the peak, %d and %d workers | leader before | leader after | each stand-by before | each stand-by after | all before | all after | refused before | refused after |\n|%s\n", old.Plan.Workers, now.Plan.Workers, strings.Repeat(" --- |", 9))
+	kinds := map[string]bool{}
+	for _, r := range []Run{old, now} {
+		for kind := range r.Windows[scale.WindowPeak].Roles[scale.RoleState].Kinds {
+			kinds[kind] = true
+		}
+	}
+	names := make([]string, 0, len(kinds))
+	for kind := range kinds {
+		names = append(names, kind)
+	}
+	slices.Sort(names)
+	rate := func(r Run, role, kind string) scale.Rate {
+		return r.Windows[scale.WindowPeak].Roles[role].Kinds[kind]
+	}
+	for _, kind := range names {
+		fmt.Fprintf(&b, "| %s |", strings.TrimPrefix(kind, "state "))
+		for _, role := range []string{scale.RoleLeader, scale.RoleStandBy, scale.RoleState} {
+			fmt.Fprintf(&b, " %s | %s |", number(rate(old, role, kind).Messages), number(rate(now, role, kind).Messages))
+		}
+		fmt.Fprintf(&b, " %s | %s |\n", number(rate(old, scale.RoleState, kind).Refused), number(rate(now, scale.RoleState, kind).Refused))
+	}
+	return b.String(), nil
+}
+
+// lossesTable has the runs in which something was lost.
+func lossesTable(runs []Run) string {
+	var b strings.Builder
+	b.WriteString("| run | lost | faults of machines, times the plan's | workers with an answer of the next leader | p50 s | p99 s | worst s | urgent within 1.2 s | breaches |\n|" + strings.Repeat(" --- |", 9) + "\n")
+	for _, r := range runs {
+		if len(r.Plan.Lose) == 0 && r.Plan.FaultsTimes == 0 {
+			continue
+		}
+		t := scale.Takeover{}
+		if len(r.Takeover) > 0 {
+			t = r.Takeover[0]
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %d | %s | %s | %s | %.3f | %d |\n", r.Name, strings.Join(r.Plan.Lose, ", "), number(r.Plan.FaultsTimes), t.Workers, number(t.Median), number(t.P99), number(t.Worst), r.Urgent.Share, len(r.Broken))
+	}
+	return b.String()
+}
+
+// Tables are the page's by name.
+func Tables(dir string) (map[string]string, error) {
+	before, err := LoadRuns(dir, Before)
+	if err != nil {
+		return nil, err
+	}
+	after, err := LoadRuns(dir, After)
+	if err != nil {
+		return nil, err
+	}
+	out := map[string]string{"runs before": runsTable(before), "runs": runsTable(after), "losses": lossesTable(after)}
+	for name, f := range map[string]func() (string, error){
+		"slopes":       func() (string, error) { return slopesTable(steadyRuns(after)) },
+		"sizes peak":   func() (string, error) { return sizesTable(after, scale.WindowPeak) },
+		"sizes steady": func() (string, error) { return sizesTable(after, scale.WindowSteady) },
+		"sizes before": func() (string, error) { return sizesTable(before, scale.WindowPeak) },
+		"kinds":        func() (string, error) { return kindsTable(before, after) },
+	} {
+		if out[name], err = f(); err != nil {
+			return nil, fmt.Errorf("table %q: %w", name, err)
+		}
+	}
+	return out, nil
+}
+
+// steadyRuns are those in which nothing was lost.
+func steadyRuns(runs []Run) []Run {
+	return slices.DeleteFunc(slices.Clone(runs), func(r Run) bool { return len(r.Plan.Lose) > 0 || r.Plan.FaultsTimes > 0 })
+}
+
+// What stands round a table in the page.
+const (
+	beginMark = "<!-- table "
+	markEnd   = " -->"
+	endMark   = "<!-- end of table -->"
+)
+
+// Remake puts the tables into a page where it says that they belong. A table that it
+// asks for and that does not exist is an error, as is one that it does not ask for.
+func Remake(page string, tables map[string]string) (string, error) {
+	var b strings.Builder
+	used := map[string]bool{}
+	for {
+		head, rest, found := strings.Cut(page, beginMark)
+		b.WriteString(head)
+		if !found {
+			break
+		}
+		name, rest, ok := strings.Cut(rest, markEnd)
+		_, rest, ended := strings.Cut(rest, endMark)
+		if !ok || !ended {
+			return "", fmt.Errorf("the table %q has no end in the page", name)
+		}
+		table, known := tables[name]
+		if !known {
+			return "", fmt.Errorf("there is no table %q", name)
+		}
+		used[name] = true
+		b.WriteString(beginMark + name + markEnd + "\n" + table + endMark)
+		page = rest
+	}
+	for name := range tables {
+		if !used[name] {
+			return "", fmt.Errorf("the page does not show the table %q", name)
+		}
+	}
+	return b.String(), nil
+}
+
+// RemakeFile remakes a page on disk and says whether that changed it; with check it
+// is left as it is.
+func RemakeFile(path, dir string, check bool) (changed bool, err error) {
+	tables, err := Tables(dir)
+	if err != nil {
+		return false, err
+	}
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return false, fmt.Errorf("read the page: %w", err)
+	}
+	made, err := Remake(string(page), tables)
+	if err != nil || made == string(page) {
+		return false, err
+	}
+	if check {
+		return true, nil
+	}
+	if err := os.WriteFile(path, []byte(made), 0o644); err != nil {
+		return false, fmt.Errorf("write the page: %w", err)
+	}
+	return true, nil
+}
--- a/internal/emulator/fake/fake.go
+++ b/internal/emulator/fake/fake.go
@@ -42,6 +42,10 @@
 	Seen func(history.Event)
 	// Writes, if set, is called with each transaction that a controller sends.
 	Writes func(core.Multi)
+	// Asks, if set, is called with each question of a follower to a leader, and Shows
+	// with its end, which it may change.
+	Asks  func(node string, q core.AskView)
+	Shows func(node string, s *core.Shown)
 	// Progress, if set, is called every simulated minute.
 	Progress func(now int64)
 	Log      *slog.Logger
--- /dev/null
+++ b/internal/emulator/fake/follow_test.go
@@ -0,0 +1,258 @@
+package fake
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/core"
+	"github.com/zinclb/zinclb/internal/core/replica"
+	"github.com/zinclb/zinclb/internal/core/upgrade"
+	"github.com/zinclb/zinclb/internal/emulator/history"
+	"github.com/zinclb/zinclb/internal/emulator/world"
+)
+
+// followers is a day on which users look closely at all controllers and cancel, so
+// that followers have to answer right after something has happened elsewhere.
+func followers(seed uint64, size int) *day {
+	d := small(seed)
+	d.Params.Size, d.Length = size, 270*second
+	d.Params.State.RPS = float64(60 + 15*size)
+	d.Strays = 1
+	d.Faults = []fault{at(15, "close_looks", 240)}
+	for i := range d.Jobs {
+		if i%3 == 0 {
+			d.Jobs[i].Cancel = d.Jobs[i].At + 3*second + int64(i)*second
+		}
+	}
+	return d
+}
+
+// following counts what the followers of a day have asked.
+type following struct {
+	asked, shown, failed int
+	// meet, if set, is called with each question, while troubles last.
+	meet func(c *Cluster, node, leader string)
+}
+
+// playFollowing plays a day, with something that happens every so often from 20 s to
+// 170 s.
+func (d *day) playFollowing(t *testing.T, f *following, every int64, again func(c *Cluster, befall func(world.Fault), i int), programs func(node, epoch int) upgrade.Program) *Cluster {
+	t.Helper()
+	var cluster *Cluster
+	var failed error
+	o := Options{Operators: d.ops, Programs: programs,
+		Asks: func(node string, q core.AskView) {
+			f.asked++
+			if f.meet != nil && cluster.Now() > 20*second && cluster.Now() < 170*second {
+				f.meet(cluster, node, q.To)
+			}
+		},
+		Shows: func(_ string, s *core.Shown) {
+			if s.Answer.View != nil {
+				f.shown++
+			} else {
+				f.failed++
+			}
+		},
+		Begin: func(c *Cluster) {
+			cluster = c
+			befall := func(x world.Fault) { c.BefallLater(&failed, x) }
+			for i := range int(150 * second / every) {
+				c.After(20*second+int64(i)*every, func() { again(c, befall, i) })
+			}
+		}}
+	c, err := Run(d.Config, o)
+	if err != nil || failed != nil {
+		t.Fatal(err, failed)
+	}
+	return c
+}
+
+// TestFollowers plays what may come between a follower's question and its answer,
+// with 3, 5 and 12 controllers. No rule is broken, nobody is told anything older than
+// before, and all that was accepted comes to its end.
+func TestFollowers(t *testing.T) {
+	nothing := func(*Cluster, func(world.Fault), int) {}
+	// atQuestion lets something befall the leader at every so manieth question, as
+	// long as it takes the question to arrive.
+	atQuestion := func(nth int, x world.Fault) func(f *following) {
+		return func(f *following) {
+			n := 0
+			var failed error
+			f.meet = func(c *Cluster, _, leader string) {
+				if n++; n%nth == 0 {
+					x.Hosts = []string{leader}
+					x.At = int64(n/nth%4) * 300
+					c.BefallLater(&failed, x)
+				}
+			}
+		}
+	}
+	type trouble struct {
+		name  string
+		every int64
+		again func(c *Cluster, befall func(world.Fault), i int)
+		meet  func(f *following)
+		// fails: some questions have to go unanswered.
+		fails bool
+	}
+	troubles := []trouble{
+		{name: "calm", every: 150 * second, again: nothing},
+		{name: "the one asked ends", every: 150 * second, again: nothing, meet: atQuestion(150, world.Fault{Kind: "crash"}), fails: true},
+		{name: "the one asked is back at once", every: 150 * second, again: nothing, meet: atQuestion(150, world.Fault{Kind: "crash", For: 200_000}), fails: true},
+		{name: "the one asked stands still for longer than its lease", every: 150 * second, again: nothing, meet: atQuestion(200, world.Fault{Kind: "freeze", For: 5 * second}), fails: true},
+		{name: "answers are lost one way", every: 20 * second, fails: true, again: func(c *Cluster, befall func(world.Fault), _ int) {
+			n := c.LeaderFirst()
+			befall(world.Fault{Kind: "cut", Hosts: n[:1], To: n[1:2], For: 8 * second, Cutting: world.Cutting{OneWay: true}})
+		}},
+		{name: "questions are lost one way", every: 20 * second, fails: true, again: func(c *Cluster, befall func(world.Fault), _ int) {
+			n := c.LeaderFirst()
+			befall(world.Fault{Kind: "cut", Hosts: n[1:2], To: n[:1], For: 8 * second, Cutting: world.Cutting{OneWay: true}})
+		}},
+		{name: "answers come late", every: 1500_000, fails: true, again: func(c *Cluster, befall func(world.Fault), i int) {
+			n := c.LeaderFirst()
+			befall(world.Fault{Kind: "cut", Hosts: n[:1], To: n[1:], For: 150_000 + int64(i%5)*100_000})
+		}},
+		{name: "ten leaders in two minutes", every: 13 * second, fails: true, again: func(c *Cluster, befall func(world.Fault), i int) {
+			befall(world.Fault{Kind: "crash", Hosts: c.LeaderFirst()[:1], For: int64(1+i%2*3) * second})
+		}},
+		{name: "the leader is refused by the state service", every: 30 * second, again: func(c *Cluster, befall func(world.Fault), _ int) {
+			befall(world.Fault{Kind: "state_refuse", Hosts: c.LeaderFirst()[:1], For: 6 * second})
+		}, fails: true},
+	}
+	links := []string{world.StateHost, "controllers", "workers"}
+	for subset := 1; subset < 1<<len(links); subset++ {
+		var to []string
+		for i, l := range links {
+			if subset>>i&1 == 1 {
+				to = append(to, l)
+			}
+		}
+		troubles = append(troubles, trouble{name: "a follower without " + strings.Join(to, ", "), every: 25 * second, again: func(c *Cluster, befall func(world.Fault), _ int) {
+			befall(world.Fault{Kind: "cut", Hosts: c.LeaderFirst()[1:2], To: to, For: 12 * second})
+		}})
+	}
+	for k, size := range []int{3, 5, 12} {
+		for i, x := range troubles {
+			if raceEnabled && (i+k)%4 != 0 {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d controllers/%s", size, x.name), func(t *testing.T) {
+				t.Parallel()
+				f := &following{}
+				if x.meet != nil {
+					x.meet(f)
+				}
+				d := followers(uint64(900+20*k+i), size)
+				c := d.playFollowing(t, f, x.every, x.again, nil)
+				for _, b := range breaches(c) {
+					t.Error(b)
+				}
+				if l := c.World.Unfinished(); len(l) > 0 {
+					t.Errorf("not over at the end: %v", l)
+				}
+				if f.shown < 100 || x.fails && f.failed == 0 {
+					t.Errorf("%d questions, %d answers, %d without one", f.asked, f.shown, f.failed)
+				}
+			})
+		}
+	}
+}
+
+// TestFollowersMixed: beside a program that shares nothing nobody asks the leader, and
+// one that comes back when all share is no trouble.
+func TestFollowersMixed(t *testing.T) {
+	this := upgrade.This()
+	before := this
+	before.Version, before.Features = 4, this.Features[:len(this.Features)-1]
+	cases := []struct {
+		name     string
+		programs func(node, epoch int) upgrade.Program
+		asks     bool
+	}{
+		{"one is older", func(node, _ int) upgrade.Program { return map[bool]upgrade.Program{true: before, false: this}[node == 1] }, false},
+		{"all are older at first", func(_, epoch int) upgrade.Program {
+			return map[bool]upgrade.Program{true: before, false: this}[epoch == 1]
+		}, true},
+		{"one goes back to the older", func(node, epoch int) upgrade.Program {
+			return map[bool]upgrade.Program{true: before, false: this}[node == 1 && epoch > 1]
+		}, true},
+	}
+	for k, size := range []int{3, 5, 12} {
+		for i, tc := range cases {
+			if raceEnabled && i != k {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d controllers/%s", size, tc.name), func(t *testing.T) {
+				t.Parallel()
+				f := &following{}
+				d := followers(uint64(970+3*k+i), size)
+				c := d.playFollowing(t, f, 6*second, func(_ *Cluster, befall func(world.Fault), i int) {
+					befall(world.Fault{Kind: "crash", Hosts: []string{world.NodeName(i % size)}})
+				}, tc.programs)
+				for _, b := range breaches(c) {
+					t.Error(b)
+				}
+				if l := c.World.Unfinished(); len(l) > 0 {
+					t.Errorf("not over at the end: %v", l)
+				}
+				if tc.asks != (f.asked > 0) {
+					t.Errorf("%d questions", f.asked)
+				}
+			})
+		}
+	}
+}
+
+// TestFollowersPlanted: a leader that shows what it read before the question came, or
+// that goes on answering by what it knew when another leads, is found out.
+func TestFollowersPlanted(t *testing.T) {
+	stale := func(s *core.Shown) {
+		s.Err, s.Answer = nil, core.Reply{Status: 200, View: &replica.View{Ledger: s.After}}
+	}
+	cases := []struct {
+		name string
+		// tamper changes an answer; since is for how long the present leader leads.
+		tamper func(s *core.Shown, since int64)
+		want   bool
+	}{
+		{"nothing is planted", func(*core.Shown, int64) {}, false},
+		{"a proof older than the request", func(s *core.Shown, _ int64) { stale(s) }, true},
+		{"a proof kept over a change of leader", func(s *core.Shown, since int64) {
+			if since < 10*second {
+				stale(s)
+			}
+		}, true},
+	}
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			d := followers(uint64(990+i), 3)
+			var cluster *Cluster
+			led := int64(0)
+			c, err := Run(d.Config, Options{Operators: d.ops,
+				Seen: func(e history.Event) {
+					if e.Kind == history.Stored && e.Key == core.LeaderKey && e.State == "put" {
+						led = e.At
+					}
+				},
+				Shows: func(_ string, s *core.Shown) { tc.tamper(s, cluster.Now()-led) },
+				Begin: func(c *Cluster) {
+					cluster = c
+					for i := range 8 {
+						var failed error
+						c.After(int64(25+18*i)*second, func() {
+							c.BefallLater(&failed, world.Fault{Kind: "crash", Hosts: c.LeaderFirst()[:1]})
+						})
+					}
+				}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if found := breaches(c); (len(found) > 0) != tc.want {
+				t.Errorf("found %v", found)
+			}
+		})
+	}
+}
--- a/internal/emulator/fake/node.go
+++ b/internal/emulator/fake/node.go
@@ -189,9 +189,16 @@
 	case core.WatchLeader:
 		n.watchLeader(e)
 	case core.AskView:
+		if c.Asks != nil {
+			c.Asks(n.name, e)
+		}
 		n.call(e.To, core.ViewFor{After: e.After, Need: e.Need}, replica.AnswerMost, func(status int, body any) {
 			r, err := reply(body)
-			n.step(core.Shown{Number: e.Number, After: e.After, Sent: sent, Answer: r, Err: err})
+			s := core.Shown{Number: e.Number, After: e.After, Sent: sent, Answer: r, Err: err}
+			if c.Shows != nil {
+				c.Shows(n.name, &s)
+			}
+			n.step(s)
 		})
 	case core.View:
 		n.watch(e.After, 0, watchMost-watchWait, core.Watched{Sent: sent, View: true, Asked: e.Asked})
