--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -215,7 +215,7 @@
 	orders, ended := c.reported(m, r)
 	orders = c.missing(m, r, orders)
 	if wait := c.parkTime(m, orders, ended); wait > 0 {
-		l.lot.park(m, parked{b.Req, *r, c.now + wait})
+		l.parkedAnswers.park(m, parked{b.Req, *r, c.now + wait})
 		return
 	}
 	c.answer(m, b.Req, orders)
@@ -264,7 +264,7 @@
 // after every message.
 func (c *Core) unparkReady() {
 	c.lead.unparkWanted = false
-	for _, name := range c.lead.lot.ready(c.now, func(name string) bool {
+	for _, name := range c.lead.parkedAnswers.ready(c.now, func(name string) bool {
 		m := c.lead.fleet.Get(name)
 		return m != nil && hasOrders(m)
 	}) {
@@ -284,7 +284,7 @@
 
 // unpark answers a parked report, with orders unless a newer one has come.
 func (c *Core) unpark(name string, answer bool) {
-	p, ok := c.lead.lot.take(name)
+	p, ok := c.lead.parkedAnswers.take(name)
 	if !ok {
 		return
 	}
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -47,9 +47,9 @@
 	via, shunned map[string]int64
 
 	// ordinary is when a type's ordinary machines were last wanted.
-	ordinary map[string]int64
-	cloud    cloudState
-	lot      lot
+	ordinary      map[string]int64
+	cloud         cloudState
+	parkedAnswers parkedAnswers
 	// unparkWanted: orders may have come for parked reports.
 	unparkWanted bool
 	// spanWanted is a smaller number of tasks for values that did not fit.
@@ -75,7 +75,7 @@
 }
 
 func newLeaderState(now int64) leaderState {
-	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), lot: newLot(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}, gone: departed{last: map[string]departure{}}, sizes: sizes{}}
+	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), parkedAnswers: newParkedAnswers(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}, gone: departed{last: map[string]departure{}}, sizes: sizes{}}
 }
 
 // leaderPuts writes a value as a whole, if nothing newer is stored: one of its own
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -207,8 +207,8 @@
 
 func (c *Core) stepDown(why string) {
 	c.log.Info("no longer leading", "token", c.lead.token, "why", why)
-	for _, name := range inOrder(c.lead.lot.byName) {
-		c.emit(Reply{Req: c.lead.lot.byName[name].req, Status: 503, Error: "no longer leading"})
+	for _, name := range inOrder(c.lead.parkedAnswers.byName) {
+		c.emit(Reply{Req: c.lead.parkedAnswers.byName[name].req, Status: 503, Error: "no longer leading"})
 	}
 	c.lead = nil
 	c.allowance = c.allowanceNow()
--- a/internal/core/lot.go
+++ b/internal/core/parked.go
@@ -19,9 +19,9 @@
 	until  int64
 }
 
-// lot is where reports are parked. At any moment a good part of an idle fleet
+// parkedAnswers is where reports are parked. At any moment a good part of an idle fleet
 // is, so that neither the ticks nor a write may go through all of it.
-type lot struct {
+type parkedAnswers struct {
 	byName map[string]parked
 	// byTime is by when their time is up, likely are the machines that have
 	// something that may become an order.
@@ -34,20 +34,20 @@
 	name string
 }
 
-func newLot() lot {
-	return lot{byName: map[string]parked{}, likely: map[string]struct{}{}, byTime: btree.NewBTreeGOptions(func(a, b parkedUntil) bool {
+func newParkedAnswers() parkedAnswers {
+	return parkedAnswers{byName: map[string]parked{}, likely: map[string]struct{}{}, byTime: btree.NewBTreeGOptions(func(a, b parkedUntil) bool {
 		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.name, b.name)) < 0
 	}, btree.Options{NoLocks: true})}
 }
 
 // has says whether a machine's report is parked.
-func (l *lot) has(name string) bool {
+func (l *parkedAnswers) has(name string) bool {
 	_, ok := l.byName[name]
 	return ok
 }
 
 // park keeps a report; the machine's last one was taken out.
-func (l *lot) park(m *fleet.Machine, p parked) {
+func (l *parkedAnswers) park(m *fleet.Machine, p parked) {
 	m.Touch()
 	l.byName[m.Name] = p
 	l.byTime.Set(parkedUntil{p.until, m.Name})
@@ -57,14 +57,14 @@
 }
 
 // expect notes that there may soon be orders for a machine.
-func (l *lot) expect(name string) {
+func (l *parkedAnswers) expect(name string) {
 	if l.has(name) {
 		l.likely[name] = struct{}{}
 	}
 }
 
 // take takes a report out.
-func (l *lot) take(name string) (parked, bool) {
+func (l *parkedAnswers) take(name string) (parked, bool) {
 	p, ok := l.byName[name]
 	if ok {
 		delete(l.byName, name)
@@ -76,7 +76,7 @@
 
 // ready lists those whose time is up, and of the likely ones those that have
 // orders.
-func (l *lot) ready(now int64, hasOrders func(name string) bool) []string {
+func (l *parkedAnswers) ready(now int64, hasOrders func(name string) bool) []string {
 	var names []string
 	l.byTime.Scan(func(u parkedUntil) bool {
 		if u.at <= now {
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -121,7 +121,7 @@
 		j.Task(s.Index).Trial = c.wantsTrial(j)
 		m.Put(fleet.Ref{Job: j, Index: s.Index})
 		m.IdleSince = 0
-		l.lot.expect(m.Name)
+		l.parkedAnswers.expect(m.Name)
 		c.mark(j)
 		c.unclaim(j, m.Name)
 	}
@@ -236,7 +236,7 @@
 // else they wait for the next. Where reports are seconds apart that decides
 // when an urgent job starts.
 func (c *Core) nextOrders(m *fleet.Machine) int64 {
-	if c.lead.lot.has(m.Name) {
+	if c.lead.parkedAnswers.has(m.Name) {
 		return 0
 	}
 	return m.Heard + config.Secs(c.set.Workers.ReportS)
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -303,7 +303,7 @@
 	var mem runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&mem)
-	t.Logf("heap with the stand-ins %d MB, parked %d", mem.HeapAlloc>>20, len(w.c.lead.lot.byName))
+	t.Logf("heap with the stand-ins %d MB, parked %d", mem.HeapAlloc>>20, len(w.c.lead.parkedAnswers.byName))
 	if mem.HeapAlloc > 200<<20 {
 		t.Errorf("the heap has %d MB", mem.HeapAlloc>>20)
 	}
@@ -362,8 +362,8 @@
 			if n != l.roster.index.Len() || n != l.roster.heard.Len() || n != len(l.roster.views) {
 				t.Fatalf("%d machines are of use, %d in the index, %d by their reports", n, l.roster.index.Len(), l.roster.heard.Len())
 			}
-			for name, p := range l.lot.byName {
-				_, likely := l.lot.likely[name]
+			for name, p := range l.parkedAnswers.byName {
+				_, likely := l.parkedAnswers.likely[name]
 				if m := l.fleet.Get(name); m != nil && hasOrders(m) && !likely && p.until > w.now {
 					t.Fatalf("there are orders for %s, and its answer waits", name)
 				}
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -201,7 +201,7 @@
 			s.send(m)
 			wants.have(s.spec.Image)
 			m.Warm = &fleet.Warm{Task: ledger.TaskName(s.spec.ID, s.index), Attempt: warmAttempt + l.warm.serial, Image: s.spec.Image, ImageMB: s.spec.ImageMB, Need: s.spec.Need, Team: s.spec.Team}
-			l.lot.expect(m.Name)
+			l.parkedAnswers.expect(m.Name)
 			l.warm.taken(used, m.Warm, 1)
 			l.warm.taken(l.warm.used, m.Warm, 1)
 			warming[m.Type]++
--- a/internal/emulator/fake/follow_test.go
+++ b/internal/emulator/fake/follow_test.go
@@ -171,7 +171,9 @@
 		programs func(node, epoch int) upgrade.Program
 		asks     bool
 	}{
-		{"one is older", func(node, _ int) upgrade.Program { return map[bool]upgrade.Program{true: before, false: this}[node == 1] }, false},
+		{"one is older", func(node, _ int) upgrade.Program {
+			return map[bool]upgrade.Program{true: before, false: this}[node == 1]
+		}, false},
 		{"all are older at first", func(_, epoch int) upgrade.Program {
 			return map[bool]upgrade.Program{true: before, false: this}[epoch == 1]
 		}, true},
