--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -56,10 +56,10 @@
 	spanWanted int
 	latching   bool
 	latchAt    int64
-	// shelved are jobs whose writes were refused or too long, until when; alone
+	// backedOff are jobs whose writes were refused or too long, until when; alone
 	// says that each is written alone, to find the one that is refused.
-	shelved map[*ledger.Job]int64
-	alone   bool
+	backedOff map[*ledger.Job]int64
+	alone     bool
 	// tail is the page that is written to, seq the number of the next entry,
 	// unneeded how many pages at the front can go.
 	tail     *page
@@ -75,7 +75,7 @@
 }
 
 func newLeaderState(now int64) leaderState {
-	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), parkedAnswers: newParkedAnswers(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, shelved: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}, gone: departed{last: map[string]departure{}}, sizes: sizes{}}
+	return leaderState{dirty: map[*ledger.Job]struct{}{}, planWanted: true, cloud: newCloudState(now), parkedAnswers: newParkedAnswers(), ordinary: map[string]int64{}, stuckLog: map[string]int64{}, known: map[string][]hintImage{}, hints: map[string][]byte{}, backedOff: map[*ledger.Job]int64{}, hintsAt: now, warm: newWarmState(), via: map[string]int64{}, shunned: map[string]int64{}, gone: departed{last: map[string]departure{}}, sizes: sizes{}}
 }
 
 // leaderPuts writes a value as a whole, if nothing newer is stored: one of its own
@@ -199,11 +199,11 @@
 		if room < 1 && pages.ops() == 0 || full() || l.alone && len(items) > 0 {
 			break
 		}
-		if until, ok := l.shelved[j]; ok {
+		if until, ok := l.backedOff[j]; ok {
 			if c.now < until {
 				continue
 			}
-			delete(l.shelved, j)
+			delete(l.backedOff, j)
 		}
 		it := item{job: j}
 		switch {
@@ -319,7 +319,7 @@
 	l := c.lead
 	if len(items) == 0 {
 		c.log.Error("the state service calls a transaction malformed", "writes", writes)
-		l.keepUntil = c.now + shelfTime // it had only removals
+		l.keepUntil = c.now + writeBackoff // it had only removals
 		return
 	}
 	c.log.Error("the state service calls a transaction malformed", "writes", writes, "job", items[0].job.ID)
@@ -330,18 +330,18 @@
 	}
 	l.tail = nil // what the page was to have goes into another
 	if len(items) == 1 {
-		l.shelved[items[0].job] = c.now + shelfTime
+		l.backedOff[items[0].job] = c.now + writeBackoff
 	}
 	l.alone = true
 }
 
-// shelfTime is for how long a job is left alone whose write was refused.
-const shelfTime = 10 * second
+// writeBackoff is for how long a job is left alone whose write was refused.
+const writeBackoff = 10 * second
 
 // tooLong puts a value off that does not fit, and asks for smaller ones.
 func (c *Core) tooLong(j *ledger.Job, n int) {
 	j.Unwritten(n)
-	c.lead.shelved[j] = c.now + second
+	c.lead.backedOff[j] = c.now + second
 	if j.Span() == c.span && c.span > 1 {
 		c.lead.spanWanted = c.span / 2
 	}
@@ -507,7 +507,7 @@
 		return
 	}
 	delete(c.lead.dirty, j)
-	delete(c.lead.shelved, j)
+	delete(c.lead.backedOff, j)
 	j.EachPlaced(func(i int, t *ledger.Task) {
 		if m := c.lead.fleet.Get(t.Machine); m != nil {
 			m.Drop(fleet.Ref{Job: j, Index: i})
