--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -224,10 +224,10 @@
 // answer gives orders in the answer to a report. What of them takes effect shows
 // whether the machine hears.
 func (c *Core) answer(m *fleet.Machine, req uint64, orders []Order) {
-	m.Hears.Told = m.Hears.Told[:0]
+	m.Delivery.Told = m.Delivery.Told[:0]
 	for _, o := range orders {
 		if o.Op != "stop" {
-			m.Hears.Told = append(m.Hears.Told, fleet.Told{Task: o.Task, Attempt: o.Attempt, Forget: o.Op == "forget"})
+			m.Delivery.Told = append(m.Delivery.Told, fleet.Told{Task: o.Task, Attempt: o.Attempt, Forget: o.Op == "forget"})
 		}
 	}
 	c.emit(Reply{Req: req, Status: 200, Token: c.lead.token, Orders: orders})
--- a/internal/core/hearing.go
+++ b/internal/core/delivery.go
@@ -51,7 +51,7 @@
 
 // heard judges by a new report whether its machine hears what it is told.
 func (c *Core) heard(m *fleet.Machine, r *Report) {
-	h := &m.Hears
+	h := &m.Delivery
 	deaf := false
 	if m.Session != 0 && r.Session > m.Session && c.now-m.Answered < config.Secs(c.set.Workers.LeaseS)*3/4 {
 		// It has ended its session for want of answers, and was given some.
@@ -104,10 +104,10 @@
 func (c *Core) deafTick() {
 	asked := 0
 	for _, m := range c.lead.fleet.All() {
-		if !m.Hears.Deaf {
+		if !m.Delivery.Deaf {
 			continue
 		}
-		if m.Hears.Retry(c.now) {
+		if m.Delivery.Retry(c.now) {
 			c.hearsAgain(m)
 		} else if asked < deafAsks && m.Ask(c.now) {
 			asked++
@@ -170,8 +170,8 @@
 	if m == nil {
 		return
 	}
-	if m.Hears.Deaf {
-		m.Hears.Heard()
+	if m.Delivery.Deaf {
+		m.Delivery.Heard()
 		c.hearsAgain(m)
 	}
 	r := p.Report
--- a/internal/core/fleet/hearing.go
+++ b/internal/core/fleet/delivery.go
@@ -1,9 +1,9 @@
 package fleet
 
-// Hearing is what is known of whether a machine hears: that its reports come
-// says only that it is heard. What shows more are orders that have taken effect
+// Delivery is what is known of whether answers get to a machine: its reports show only
+// that it can send. What shows more are orders that have taken effect
 // by its next report, which it sends when it has had its answer or given it up.
-type Hearing struct {
+type Delivery struct {
 	// Told are the orders of the last answer whose effect would show.
 	Told []Told
 	// missed counts answers in turn of whose orders nothing took effect.
@@ -38,46 +38,46 @@
 
 // Reported judges the last answer's orders by the next report; listed says
 // whether that has an attempt. It returns whether the machine is newly deaf.
-func (h *Hearing) Reported(listed func(task string, attempt uint32) bool, now int64) (deaf bool) {
-	if len(h.Told) == 0 {
+func (d *Delivery) Reported(listed func(task string, attempt uint32) bool, now int64) (deaf bool) {
+	if len(d.Told) == 0 {
 		return false
 	}
-	for _, t := range h.Told {
+	for _, t := range d.Told {
 		if listed(t.Task, t.Attempt) != t.Forget {
-			h.Heard()
-			h.pause = 0
+			d.Heard()
+			d.pause = 0
 			return false
 		}
 	}
-	h.missed++
-	return h.judge(now)
+	d.missed++
+	return d.judge(now)
 }
 
 // Unanswered notes that a machine ended its session though it was answered.
-func (h *Hearing) Unanswered(now int64) (deaf bool) {
-	h.missed++
-	return h.judge(now)
+func (d *Delivery) Unanswered(now int64) (deaf bool) {
+	d.missed++
+	return d.judge(now)
 }
 
-func (h *Hearing) judge(now int64) bool {
-	if h.Deaf || h.missed < missesForDeaf {
+func (d *Delivery) judge(now int64) bool {
+	if d.Deaf || d.missed < missesForDeaf {
 		return false
 	}
-	h.Deaf, h.since = true, now
-	h.pause = min(max(2*h.pause, leastPause), mostPause)
+	d.Deaf, d.since = true, now
+	d.pause = min(max(2*d.pause, leastPause), mostPause)
 	return true
 }
 
 // Heard notes that something got to it.
-func (h *Hearing) Heard() { h.missed, h.Deaf = 0, false }
+func (d *Delivery) Heard() { d.missed, d.Deaf = 0, false }
 
 // Retry lets a deaf machine be tried once more when its pause is over: whoever
 // can't ask it would else never learn that it hears another controller.
-func (h *Hearing) Retry(now int64) bool {
-	if !h.Deaf || now-h.since < h.pause {
+func (d *Delivery) Retry(now int64) bool {
+	if !d.Deaf || now-d.since < d.pause {
 		return false
 	}
-	h.Deaf, h.missed = false, missesForDeaf-1
+	d.Deaf, d.missed = false, missesForDeaf-1
 	return true
 }
 
@@ -86,13 +86,13 @@
 
 // Ask says whether to ask a machine for a report now.
 func (m *Machine) Ask(now int64) bool {
-	h := &m.Hears
-	if h.asked != 0 && now-h.asked < askEvery {
+	d := &m.Delivery
+	if d.asked != 0 && now-d.asked < askEvery {
 		return false
 	}
-	h.asked, h.open = now, true
+	d.asked, d.open = now, true
 	if !m.anew {
-		h.session, h.seq = m.Session, m.Seq
+		d.session, d.seq = m.Session, m.Seq
 	}
 	return true
 }
@@ -103,17 +103,17 @@
 // anything, as a report from before looks like the newest: they say what the
 // present number is, and whether it has begun once more.
 func (m *Machine) Answer(sent int64, session, seq uint64) (begun bool) {
-	h := &m.Hears
-	if !h.open || sent < h.asked {
+	d := &m.Delivery
+	if !d.open || sent < d.asked {
 		return false
 	}
-	h.open = false // another answer is to be held against newer numbers
-	newer := session > h.session || session == h.session && seq > h.seq
+	d.open = false // another answer is to be held against newer numbers
+	newer := session > d.session || session == d.session && seq > d.seq
 	if newer && !m.anew {
 		return false
 	}
-	begun = !newer || session != h.session
-	m.anew, m.Session, m.Seq, h.session, h.seq = true, session, seq, session, seq
+	begun = !newer || session != d.session
+	m.anew, m.Session, m.Seq, d.session, d.seq = true, session, seq, session, seq
 	return begun
 }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -105,7 +105,7 @@
 	// BadJobs are jobs that failed here since the last success.
 	BadJobs map[string]bool
 	// Hears is what is known of whether answers get to it.
-	Hears Hearing
+	Delivery Delivery
 	// anew: its reports' numbers have begun anew.
 	anew bool
 
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -238,7 +238,7 @@
 		switch {
 		case m.Drain || m.Releasing || m.NoticeAt != 0:
 			v.Machines.Draining++
-		case m.Hears.Deaf:
+		case m.Delivery.Deaf:
 			v.Machines.Deaf++
 		case !c.usable(m):
 			v.Machines.Silent++
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -38,7 +38,7 @@
 // usable says whether tasks may be placed on a machine now: its worker has
 // accepted this leader, hears it, reports in time, and the machine is to stay.
 func (c *Core) usable(m *fleet.Machine) bool {
-	return m.Fresh && !m.Hears.Deaf && !m.Drain && !m.Releasing && m.NoticeAt == 0 && m.Heard > c.now-c.overdue() && m.Cap != ledger.Vec{}
+	return m.Fresh && !m.Delivery.Deaf && !m.Drain && !m.Releasing && m.NoticeAt == 0 && m.Heard > c.now-c.overdue() && m.Cap != ledger.Vec{}
 }
 
 // overdue is for how long a machine may be silent and still be used.
