--- a/internal/core/await_test.go
+++ b/internal/core/await_test.go
@@ -241,7 +241,7 @@
 		{"a service", []string{"service"}, nil, 422, "service"},
 		{"one accepted a moment ago, which the watch has yet to tell", []string{"recent"}, func(s *shelf) { s.put(jobPrefix+"recent", job("recent")) }, 201, ""},
 		{"an end that can't be read is not one that isn't there", []string{"done"}, func(s *shelf) { s.unreachable[endPrefix+"done"] = true }, 503, ""},
-		{"before all controllers have this version", []string{"open"}, func(s *shelf) { s.c.latch = newLatch(&s.c.set) }, 503, "version"},
+		{"before all controllers have this version", []string{"open"}, func(s *shelf) { s.c.activation = newActivation(&s.c.set) }, 503, "version"},
 		{"more than can ever be stored", strings.Fields(strings.Repeat("open-"+strings.Repeat("x", 90)+" ", 90)), func(s *shelf) {
 			s.put(jobPrefix+"open-"+strings.Repeat("x", 90), job("open-"+strings.Repeat("x", 90)))
 		}, 400, "bytes"},
--- a/internal/core/commit.go
+++ b/internal/core/commit.go
@@ -54,8 +54,8 @@
 	unparkWanted bool
 	// spanWanted is a smaller number of tasks for values that did not fit.
 	spanWanted int
-	latching   bool
-	latchAt    int64
+	activating bool
+	activateAt int64
 	// backedOff are jobs whose writes were refused or too long, until when; alone
 	// says that each is written alone, to find the one that is refused.
 	backedOff map[*ledger.Job]int64
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -473,7 +473,7 @@
 	hints                    map[string][]byte
 	format                   formatValue
 	formatAt                 uint64
-	latch                    *upgrade.Latch
+	activation               *upgrade.Activation
 	// featuresAt and goneAt are versions of keys; unfit is why this program must
 	// not go on.
 	featuresAt uint64
@@ -540,7 +540,7 @@
 func New(set Settings, now int64, rng *rand.Rand, log *slog.Logger) *Core {
 	c := &Core{set: set, now: now, rng: rng, log: log, jobs: map[string]*ledger.Job{},
 		orphaned: map[string]map[ledger.Value]Change{}, ends: map[string]ledger.End{}, hints: map[string][]byte{},
-		peers: map[string]peerView{}, seen: map[string]redirect{}, span: ledger.ChunkTasks, graph: ledger.NewGraph(), recall: newRecall(), asking: map[string]int64{}, sweeps: map[string]*sweep{}, latch: newLatch(&set), goneAt: map[string]uint64{},
+		peers: map[string]peerView{}, seen: map[string]redirect{}, span: ledger.ChunkTasks, graph: ledger.NewGraph(), recall: newRecall(), asking: map[string]int64{}, sweeps: map[string]*sweep{}, activation: newActivation(&set), goneAt: map[string]uint64{},
 		txns: txn.New(), gets: map[uint64]func(Got){}, reachAt: map[string]uint64{}, stamps: map[string]uint64{},
 		links: reach.New(set.Name, set.Boot, set.Peers, set.Zones, config.Secs(set.Workers.ReportS))}
 	c.frugal = set.Frugal(&c.set.Ops)
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -20,7 +20,7 @@
 // viewSource is the controller that is asked for what is stored, "" for the state
 // service itself.
 func (c *Core) viewSource() string {
-	if c.lead != nil || !c.synced || c.leaderAt == 0 || c.stateLost() || !c.latch.Enabled(upgrade.SharedReads) || !c.peerUp(c.leader.Name) {
+	if c.lead != nil || !c.synced || c.leaderAt == 0 || c.stateLost() || !c.activation.Enabled(upgrade.SharedReads) || !c.peerUp(c.leader.Name) {
 		return ""
 	}
 	c.follower.Led(c.leader.Name, c.leader.Token)
@@ -122,8 +122,8 @@
 // allowanceNow is what this controller may use of the state service.
 func (c *Core) allowanceNow() rates.Share {
 	l := c.limits()
-	present, older := c.latch.Present(upgrade.SharedReads, c.leader.Name)
-	proven := c.elect.lease != 0 && c.now-c.elect.leaseAt < c.set.Ops.LeaderLease && c.latch.MemberFor(c.now) > rates.Settled && c.now-c.mirrorAt < rates.Fresh
+	present, older := c.activation.Present(upgrade.SharedReads, c.leader.Name)
+	proven := c.elect.lease != 0 && c.now-c.elect.leaseAt < c.set.Ops.LeaderLease && c.activation.MemberFor(c.now) > rates.Settled && c.now-c.mirrorAt < rates.Fresh
 	return rates.Of(rates.Limits{Requests: l.RPS, Changes: l.WriteRPS}, rates.Members{All: len(c.set.Peers) + 1, Present: present, Older: older,
-		Proven: proven, Led: c.leaderAt != 0 && !c.begins(), Leads: c.lead != nil, Shared: c.latch.Enabled(upgrade.SharedReads)})
+		Proven: proven, Led: c.leaderAt != 0 && !c.begins(), Leads: c.lead != nil, Shared: c.activation.Enabled(upgrade.SharedReads)})
 }
--- a/internal/core/format.go
+++ b/internal/core/format.go
@@ -30,8 +30,8 @@
 	At int64 `json:"t"`
 }
 
-// newLatch makes the latch, of which nothing is known.
-func newLatch(set *Settings) *upgrade.Latch {
+// newActivation makes the activation, of which nothing is known.
+func newActivation(set *Settings) *upgrade.Activation {
 	program := upgrade.This()
 	if set.Program != nil {
 		program = *set.Program
@@ -48,12 +48,12 @@
 
 // formatOf is the newest format that this controller is to write.
 func (c *Core) formatOf() int {
-	w, _, _ := c.latch.Own()
+	w, _, _ := c.activation.Own()
 	return w.Format
 }
 
 // joined says that data may be written that version 1 can't read.
-func (c *Core) joined() bool { return c.latch.Enabled(upgrade.Log) }
+func (c *Core) joined() bool { return c.activation.Enabled(upgrade.Log) }
 
 // tight says that what is written has to fit the limits to come as well. In
 // the first format it need not until they are here: a value that has to be
@@ -106,7 +106,7 @@
 		c.log.Info("format of stored data", "version", f.Version, "tasks", f.Tasks)
 	}
 	c.format, c.formatAt = f, ch.Stamp
-	c.latch.SetFormat(f.Version)
+	c.activation.SetFormat(f.Version)
 	if c.lead == nil {
 		c.resplit()
 	}
@@ -127,8 +127,8 @@
 	}
 }
 
-// applyLatch takes over what is stored of controllers and features.
-func (c *Core) applyLatch(key string, ch Change, bad func(error)) {
+// applyActivation takes over what is stored of controllers and features.
+func (c *Core) applyActivation(key string, ch Change, bad func(error)) {
 	read := func(v any) bool {
 		if err := json.Unmarshal(ch.Value, v); err != nil {
 			bad(err)
@@ -144,19 +144,19 @@
 		if ch.Removed {
 			c.goneAt[name] = 0
 		}
-		c.latch.Gone(name, !ch.Removed)
+		c.activation.Gone(name, !ch.Removed)
 	case isWord && ch.Removed:
-		c.latch.Unsaid(word)
+		c.activation.Unsaid(word)
 	case isWord:
 		var w upgrade.Word
 		if read(&w) {
-			c.latch.Said(word, w, ch.Stamp, c.now)
+			c.activation.Said(word, w, ch.Stamp, c.now)
 		}
 	case !ch.Removed: // the features that are on
 		var v featuresValue
 		if read(&v) {
 			c.featuresAt = ch.Stamp
-			c.latch.SetOn(v.On)
+			c.activation.SetOn(v.On)
 			c.log.Info("features that are on", "features", v.On)
 		}
 	}
@@ -166,7 +166,7 @@
 // program: from then on it would write, or answer, what is wrong. At its start
 // it ends with one sentence that says so.
 func (c *Core) checkFit(starting bool) bool {
-	why := c.latch.Unfit()
+	why := c.activation.Unfit()
 	if why == "" {
 		return true
 	}
@@ -210,7 +210,7 @@
 	if !c.synced || c.now < e.joinAt || c.budget.Level() < 1 {
 		return
 	}
-	w, stamp, say := c.latch.Own()
+	w, stamp, say := c.activation.Own()
 	if !say {
 		return
 	}
@@ -220,23 +220,23 @@
 	}
 }
 
-// latchTick switches on the next feature that every controller has, as its word
+// activateTick switches on the next feature that every controller has, as its word
 // in the state service says at that moment. The write is conditional on the
 // leadership and on all of these words, so that one which is replaced by an
 // older program meanwhile is not overlooked. It lowers the tasks of a value too.
-func (c *Core) latchTick() {
+func (c *Core) activateTick() {
 	l := c.lead
-	if l.latching || c.now < l.latchAt || !c.sure() || c.budget.Level() < 1 {
+	if l.activating || c.now < l.activateAt || !c.sure() || c.budget.Level() < 1 {
 		return
 	}
-	for _, n := range c.latch.Back() {
+	for _, n := range c.activation.Back() {
 		// Operators took it for gone, and it is there.
-		l.latching, l.latchAt = true, c.now+second
+		l.activating, l.activateAt = true, c.now+second
 		c.budget.Use(1)
-		c.multi([]Cond{kv.At(LeaderKey, l.stamp), kv.At(gonePrefix+n, c.goneAt[n])}, []Write{{Key: gonePrefix + n}}, func(Committed) { l.latching = false })
+		c.multi([]Cond{kv.At(LeaderKey, l.stamp), kv.At(gonePrefix+n, c.goneAt[n])}, []Write{{Key: gonePrefix + n}}, func(Committed) { l.activating = false })
 		return
 	}
-	f, by := c.latch.Next()
+	f, by := c.activation.Next()
 	tasks := l.spanWanted
 	if f == nil && (!c.joined() || tasks == 0 || tasks >= c.format.Tasks) {
 		return
@@ -245,7 +245,7 @@
 	write := Write{Key: formatKey}
 	switch {
 	case f != nil && f.Format == 0:
-		write = Write{Key: featuresKey, Value: encode(featuresValue{c.latch.On(f)})}
+		write = Write{Key: featuresKey, Value: encode(featuresValue{c.activation.On(f)})}
 		when = append(when, kv.At(featuresKey, c.featuresAt))
 	default:
 		version := c.format.Version
@@ -268,10 +268,10 @@
 			when = append(when, kv.At(memberPrefix+m.Name, m.Stamp))
 		}
 	}
-	l.latching, l.latchAt = true, c.now+second
+	l.activating, l.activateAt = true, c.now+second
 	c.budget.Use(1)
 	c.multi(when, []Write{write}, func(Committed) {
-		l.latching = false // it holds when the mirror shows it
+		l.activating = false // it holds when the mirror shows it
 	})
 }
 
@@ -284,7 +284,7 @@
 		}
 		c.emit(r)
 	}
-	_, there := c.latch.Words()[m.Name]
+	_, there := c.activation.Words()[m.Name]
 	switch {
 	case !slices.Contains(c.set.Peers, m.Name):
 		reply(404, "no other controller is called "+strconv.Quote(m.Name))
--- a/internal/core/format_test.go
+++ b/internal/core/format_test.go
@@ -66,7 +66,7 @@
 			}
 			begin()
 			s.run(2 * second)
-			if s.c.lead == nil || s.c.latch.Words()["n0"].Format != 2 {
+			if s.c.lead == nil || s.c.activation.Words()["n0"].Format != 2 {
 				t.Fatal("does not lead, or has not said its version")
 			}
 			tc.do(s)
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -59,7 +59,7 @@
 	c.leader, c.leaderAt = leaderValue{}, 0
 	c.token, c.tokenAt = tokenValue{}, 0
 	c.graph = ledger.NewGraph()
-	c.latch.Restart()
+	c.activation.Restart()
 	c.featuresAt, c.goneAt = 0, map[string]uint64{}
 	c.reachAt = map[string]uint64{}
 	c.stamps = map[string]uint64{}
@@ -189,7 +189,7 @@
 	case strings.HasPrefix(key, "sweep"):
 		c.applySweep(key, ch, bad)
 	case key == "features" || strings.HasPrefix(key, "gone/") || strings.HasPrefix(key, "member/"):
-		c.applyLatch(key, ch, bad)
+		c.applyActivation(key, ch, bad)
 	case strings.HasPrefix(key, "reach/"):
 		c.applyReach(key[len("reach/"):], ch, bad)
 	case strings.HasPrefix(key, "hints/") && !ch.Removed:
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -175,11 +175,11 @@
 		}
 		v.Partitions = append(v.Partitions, p)
 	}
-	for _, f := range c.latch.States() {
+	for _, f := range c.activation.States() {
 		v.Features = append(v.Features, OpsFeature{string(f.Name), f.On, f.Held})
 	}
 	v.Members = map[string]OpsMember{}
-	for name, w := range c.latch.Words() {
+	for name, w := range c.activation.Words() {
 		v.Members[name] = OpsMember{w.Program, w.Format, w.Features, w.Held}
 	}
 	if c.unfit != "" {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -18,7 +18,7 @@
 func (c *Core) onPinged(m Pinged) {
 	c.links.Called(m.From, c.now)
 	c.noteNewest(c.leader)
-	n := &PeerNews{Token: c.newest.Token, Leader: c.newest.Name, StateAge: c.stateAge(), Version: c.formatOf(), Features: c.latch.Features(), Lowered: c.lowered}
+	n := &PeerNews{Token: c.newest.Token, Leader: c.newest.Name, StateAge: c.stateAge(), Version: c.formatOf(), Features: c.activation.Features(), Lowered: c.lowered}
 	c.vouchFor(m, n)
 	if c.set.Ops.Reach {
 		v := c.links.Own(c.now)
@@ -49,7 +49,7 @@
 		return
 	}
 	v.at = m.Sent
-	c.latch.Answered(m.Peer, m.Sent, m.News.Version, m.News.Features)
+	c.activation.Answered(m.Peer, m.Sent, m.News.Version, m.News.Features)
 	if m.News.Lowered {
 		c.lower("a peer says so")
 	}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -513,7 +513,7 @@
 	}
 	c.inherit()
 	c.warmTick()
-	c.latchTick()
+	c.activateTick()
 	c.sweepTick()
 	c.hintsTick()
 	c.stuckTick()
--- a/internal/core/reaching.go
+++ b/internal/core/reaching.go
@@ -47,7 +47,7 @@
 // and reaches the state service.
 func (c *Core) sayReach() {
 	v, news := c.links.Say(c.now)
-	if !news || !c.latch.Enabled(upgrade.Reach) || c.stateLost() || c.budget.Level() < 1 {
+	if !news || !c.activation.Enabled(upgrade.Reach) || c.stateLost() || c.budget.Level() < 1 {
 		return
 	}
 	if c.elect.lease != 0 {
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -176,7 +176,7 @@
 	maxAskPlan   = 100
 )
 
-func (c *Core) sweeping() bool { return c.latch.Enabled(upgrade.Sweeps) }
+func (c *Core) sweeping() bool { return c.activation.Enabled(upgrade.Sweeps) }
 
 // sweep finds a sweep, or makes what is to be filled by the keys that are read.
 func (c *Core) sweep(id string) *sweep {
--- a/internal/core/upgrade/latch.go
+++ b/internal/core/upgrade/activation.go
@@ -61,8 +61,8 @@
 	gone bool
 }
 
-// Latch is one controller's knowledge of all.
-type Latch struct {
+// Activation is one controller's knowledge of all.
+type Activation struct {
 	program Program
 	self    string
 	own     Word
@@ -74,10 +74,10 @@
 	alien []Stored
 }
 
-// New makes the latch of a controller. chosen are the features that its operators
+// New makes the activation of a controller. chosen are the features that its operators
 // want of those that have to be wanted, held those that they hold back.
-func New(program Program, self, boot string, peers []string, chosen, held []Name) *Latch {
-	l := &Latch{program: program, self: self, names: append([]string{self}, peers...), members: map[string]*member{}, on: map[Name]bool{}, format: 1}
+func New(program Program, self, boot string, peers []string, chosen, held []Name) *Activation {
+	l := &Activation{program: program, self: self, names: append([]string{self}, peers...), members: map[string]*member{}, on: map[Name]bool{}, format: 1}
 	slices.Sort(l.names)
 	l.own = Word{Format: 1, Boot: boot, Program: program.Version, Oldest: 1}
 	for i := range program.Features {
@@ -103,7 +103,7 @@
 
 // Restart forgets what is stored, as before it is read anew. What was answered
 // to pings is kept.
-func (l *Latch) Restart() {
+func (l *Activation) Restart() {
 	for _, n := range l.names {
 		m := l.members[n]
 		if m == nil {
@@ -116,23 +116,23 @@
 
 // Own is this controller's word, and the version of the one that is stored;
 // say is false if it stands there already.
-func (l *Latch) Own() (w Word, stamp uint64, say bool) {
+func (l *Activation) Own() (w Word, stamp uint64, say bool) {
 	m := l.members[l.self]
 	return l.own, m.stamp, m.stamp == 0 || !m.word.same(&l.own)
 }
 
 // Features are those that this controller has, for its answers to pings.
-func (l *Latch) Features() []Name { return l.own.Features }
+func (l *Activation) Features() []Name { return l.own.Features }
 
 // Said notes a controller's word in the state service, Unsaid that it is gone.
-func (l *Latch) Said(name string, w Word, stamp uint64, now int64) {
+func (l *Activation) Said(name string, w Word, stamp uint64, now int64) {
 	if m := l.members[name]; m != nil {
 		m.word, m.stamp, m.seen = w, stamp, now
 	}
 }
 
 // Unsaid notes that a controller's word has gone with its lease.
-func (l *Latch) Unsaid(name string) {
+func (l *Activation) Unsaid(name string) {
 	if m := l.members[name]; m != nil {
 		m.word, m.stamp = Word{}, 0
 	}
@@ -140,21 +140,21 @@
 
 // Answered notes an answer to a ping that was sent at sent: the format that the
 // controller can write, 0 before there were any, and its features.
-func (l *Latch) Answered(name string, sent int64, format int, features []Name) {
+func (l *Activation) Answered(name string, sent int64, format int, features []Name) {
 	if m := l.members[name]; m != nil && sent >= m.answered {
 		m.answered, m.format, m.features = sent, format, features
 	}
 }
 
 // Gone notes whether operators say that a controller will not come back.
-func (l *Latch) Gone(name string, gone bool) {
+func (l *Activation) Gone(name string, gone bool) {
 	if m := l.members[name]; m != nil {
 		m.gone = gone
 	}
 }
 
 // Back are those that were said to be gone and have a word again.
-func (l *Latch) Back() (names []string) {
+func (l *Activation) Back() (names []string) {
 	for _, n := range l.names {
 		if m := l.members[n]; m.gone && m.stamp != 0 {
 			names = append(names, n)
@@ -164,10 +164,10 @@
 }
 
 // SetFormat notes the stored format, SetOn the features that are on by name.
-func (l *Latch) SetFormat(format int) { l.format = max(l.format, format) }
+func (l *Activation) SetFormat(format int) { l.format = max(l.format, format) }
 
 // SetOn notes the stored features.
-func (l *Latch) SetOn(list []Stored) {
+func (l *Activation) SetOn(list []Stored) {
 	l.alien = nil
 	for _, s := range list {
 		if l.program.find(s.Name) == nil {
@@ -179,14 +179,14 @@
 }
 
 // Enabled says whether a feature is on.
-func (l *Latch) Enabled(n Name) bool {
+func (l *Activation) Enabled(n Name) bool {
 	f := l.program.find(n)
 	return f != nil && (f.Format != 0 && l.format >= f.Format || f.Format == 0 && l.on[n])
 }
 
 // Unfit is why this program must not go on, "" if it may: what is stored needs
 // something that it does not have.
-func (l *Latch) Unfit() string {
+func (l *Activation) Unfit() string {
 	if most := l.program.Format(); l.format > most {
 		return fmt.Sprintf("the stored format is %d, and this program reads up to %d: start a newer one", l.format, most)
 	}
@@ -203,7 +203,7 @@
 }
 
 // lacks is why a controller holds a feature back, "" if it does not.
-func (l *Latch) lacks(name string, f *Feature) string {
+func (l *Activation) lacks(name string, f *Feature) string {
 	m := l.members[name]
 	switch {
 	case m.stamp == 0 && m.gone:
@@ -225,7 +225,7 @@
 
 // Next is the feature that the leader may switch on now, nil if there is none,
 // with the words that it judged by: the write has to be conditional on them.
-func (l *Latch) Next() (f *Feature, by []Member) {
+func (l *Activation) Next() (f *Feature, by []Member) {
 	for i := range l.program.Features {
 		f := &l.program.Features[i]
 		if l.Enabled(f.Name) || len(l.held(f)) > 0 {
@@ -240,7 +240,7 @@
 }
 
 // held is what holds a feature back.
-func (l *Latch) held(f *Feature) (why []string) {
+func (l *Activation) held(f *Feature) (why []string) {
 	for _, n := range f.Needs {
 		if !l.Enabled(n) {
 			why = append(why, "it needs "+string(n))
@@ -258,7 +258,7 @@
 }
 
 // On are the features to be stored once another is on too.
-func (l *Latch) On(f *Feature) (list []Stored) {
+func (l *Activation) On(f *Feature) (list []Stored) {
 	list = slices.Clone(l.alien)
 	for _, x := range l.program.Features {
 		if x.Format == 0 && (l.on[x.Name] || x.Name == f.Name) {
@@ -276,7 +276,7 @@
 }
 
 // States are all features with what holds them back.
-func (l *Latch) States() (out []State) {
+func (l *Activation) States() (out []State) {
 	for i := range l.program.Features {
 		f := &l.program.Features[i]
 		s := State{Name: f.Name, On: l.Enabled(f.Name)}
@@ -293,7 +293,7 @@
 
 // Present counts the controllers that are members and have a feature, without the
 // leader, and those that are members and do not have it.
-func (l *Latch) Present(n Name, leader string) (present, without int) {
+func (l *Activation) Present(n Name, leader string) (present, without int) {
 	f := l.program.find(n)
 	for _, name := range l.names {
 		m := l.members[name]
@@ -310,7 +310,7 @@
 
 // MemberFor is for how long this controller has seen its own word stored, 0 if it is
 // not.
-func (l *Latch) MemberFor(now int64) int64 {
+func (l *Activation) MemberFor(now int64) int64 {
 	m := l.members[l.self]
 	if m.stamp == 0 {
 		return 0
@@ -319,7 +319,7 @@
 }
 
 // Words are the controllers' words that are there.
-func (l *Latch) Words() map[string]Word {
+func (l *Activation) Words() map[string]Word {
 	out := map[string]Word{}
 	for n, m := range l.members {
 		if m.stamp != 0 {
--- a/internal/core/upgrade/latch_test.go
+++ b/internal/core/upgrade/activation_test.go
@@ -33,25 +33,25 @@
 		name   string
 		format int
 		on     []Stored
-		do     func(l *Latch)
+		do     func(l *Activation)
 		want   Name
 		held   string // of Reach
 	}{
-		{"nothing is known of n1", 1, nil, func(*Latch) {}, "", "n1 has not said what it can"},
-		{"log first", 1, nil, func(l *Latch) { l.Said("n1", word(This()), 2, 5) }, Log, "it needs log"},
-		{"then reach", 2, nil, func(l *Latch) { l.Said("n1", word(This()), 2, 5) }, Reach, ""},
-		{"then shared reads", 2, []Stored{{Name: Reach}}, func(l *Latch) { l.Said("n1", word(This()), 2, 5) }, SharedReads, ""},
-		{"all is on", 2, []Stored{{Name: Reach}, {Name: SharedReads}}, func(l *Latch) { l.Said("n1", word(This()), 2, 5) }, "", ""},
-		{"n1 is older", 2, nil, func(l *Latch) { l.Said("n1", word(older()), 2, 5) }, "", "n1 does not have it"},
-		{"an older one may have the log", 1, nil, func(l *Latch) { l.Said("n1", word(older()), 2, 5) }, Log, "n1 does not have it"},
-		{"n1 holds it back", 2, nil, func(l *Latch) { l.Said("n1", word(This(), Reach), 2, 5) }, "", "n1 holds it back"},
-		{"its lease has run out", 2, nil, func(l *Latch) { l.Said("n1", word(This()), 2, 5); l.Unsaid("n1") }, "", "n1 has not said"},
-		{"it is gone for good", 2, nil, func(l *Latch) { l.Gone("n1", true) }, Reach, ""},
-		{"it was gone, and is back with an older program", 2, nil, func(l *Latch) { l.Gone("n1", true); l.Said("n1", word(older()), 2, 5) }, "", "n1 does not have it"},
-		{"replaced within its lease: it answers otherwise since", 2, nil, func(l *Latch) { l.Said("n1", word(This()), 2, 5); l.Answered("n1", 6, 2, nil) }, "", "n1 answers that it does not have it"},
-		{"it answered otherwise before it said so", 2, nil, func(l *Latch) { l.Answered("n1", 4, 2, nil); l.Said("n1", word(This()), 2, 5) }, Reach, ""},
-		{"answers alone are no word", 2, nil, func(l *Latch) { l.Answered("n1", 6, 2, []Name{Log, Reach}) }, "", "n1 has not said"},
-		{"a newer one has it too", 2, nil, func(l *Latch) { l.Said("n1", word(next()), 2, 5) }, Reach, ""},
+		{"nothing is known of n1", 1, nil, func(*Activation) {}, "", "n1 has not said what it can"},
+		{"log first", 1, nil, func(l *Activation) { l.Said("n1", word(This()), 2, 5) }, Log, "it needs log"},
+		{"then reach", 2, nil, func(l *Activation) { l.Said("n1", word(This()), 2, 5) }, Reach, ""},
+		{"then shared reads", 2, []Stored{{Name: Reach}}, func(l *Activation) { l.Said("n1", word(This()), 2, 5) }, SharedReads, ""},
+		{"all is on", 2, []Stored{{Name: Reach}, {Name: SharedReads}}, func(l *Activation) { l.Said("n1", word(This()), 2, 5) }, "", ""},
+		{"n1 is older", 2, nil, func(l *Activation) { l.Said("n1", word(older()), 2, 5) }, "", "n1 does not have it"},
+		{"an older one may have the log", 1, nil, func(l *Activation) { l.Said("n1", word(older()), 2, 5) }, Log, "n1 does not have it"},
+		{"n1 holds it back", 2, nil, func(l *Activation) { l.Said("n1", word(This(), Reach), 2, 5) }, "", "n1 holds it back"},
+		{"its lease has run out", 2, nil, func(l *Activation) { l.Said("n1", word(This()), 2, 5); l.Unsaid("n1") }, "", "n1 has not said"},
+		{"it is gone for good", 2, nil, func(l *Activation) { l.Gone("n1", true) }, Reach, ""},
+		{"it was gone, and is back with an older program", 2, nil, func(l *Activation) { l.Gone("n1", true); l.Said("n1", word(older()), 2, 5) }, "", "n1 does not have it"},
+		{"replaced within its lease: it answers otherwise since", 2, nil, func(l *Activation) { l.Said("n1", word(This()), 2, 5); l.Answered("n1", 6, 2, nil) }, "", "n1 answers that it does not have it"},
+		{"it answered otherwise before it said so", 2, nil, func(l *Activation) { l.Answered("n1", 4, 2, nil); l.Said("n1", word(This()), 2, 5) }, Reach, ""},
+		{"answers alone are no word", 2, nil, func(l *Activation) { l.Answered("n1", 6, 2, []Name{Log, Reach}) }, "", "n1 has not said"},
+		{"a newer one has it too", 2, nil, func(l *Activation) { l.Said("n1", word(next()), 2, 5) }, Reach, ""},
 	}
 	for _, tc := range cases {
 		l := New(This(), "n0", "b", []string{"n1"}, nil, nil)
--- a/internal/core/upgrade/feature.go
+++ b/internal/core/upgrade/feature.go
@@ -1,5 +1,5 @@
 // Package upgrade says what this program can do, what every controller has said
-// that it can, and which features are on. It owns the latch: a feature is
+// that it can, and which features are on. It owns the activation: a feature is
 // switched on once all controllers have it, and never off while something that
 // is stored needs it. It does no input or output.
 package upgrade
--- a/internal/core/upgrade/model_test.go
+++ b/internal/core/upgrade/model_test.go
@@ -47,7 +47,7 @@
 	unconditional
 )
 
-// decide asks the latch itself.
+// decide asks the activation itself.
 func (s *model) decide(f flaw) bool {
 	l := New(This(), "n0", "b", []string{"n1"}, nil, nil)
 	l.SetFormat(2)
