--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -512,10 +512,10 @@
 	behindAt int64
 	// newest is the newest leadership that this controller has heard of.
 	newest leaderValue
-	// witness vouches for what this controller tells users, tells are answers
+	// witness vouches for what this controller tells users, heldAnswers are answers
 	// that wait for a leader to know of a cancellation.
-	witness *vouch.Witness
-	tells   tells
+	witness     *vouch.Witness
+	heldAnswers heldAnswers
 	// stateOK and stateBad are when the state service last answered a
 	// request, and when it last failed one.
 	stateOK, stateBad int64
@@ -545,7 +545,7 @@
 		links: reach.New(set.Name, set.Boot, set.Peers, set.Zones, config.Secs(set.Workers.ReportS))}
 	c.frugal = set.Frugal(&c.set.Ops)
 	c.witness = vouch.NewWitness(set.Boot, set.Peers, set.Hold(), now)
-	c.tells.sent = map[string]int64{}
+	c.heldAnswers.sent = map[string]int64{}
 	c.requests.inFlight = map[string][]*ask{}
 	c.allowance = c.allowanceNow()
 	c.reading = rates.NewBudget(now, c.allowance.Reads)
@@ -688,7 +688,7 @@
 	}
 	c.requestsTick()
 	c.watch()
-	c.tellsTick()
+	c.heldAnswersTick()
 	c.electTick()
 	c.joinTick()
 	c.reachTick()
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -56,7 +56,7 @@
 	v.stateOK = m.Sent - m.News.StateAge
 	c.peers[m.Peer] = v
 	c.witness.Answered(m.Peer, m.Sent, m.News.Ack)
-	c.tellNow()
+	c.releaseAnswers()
 	c.noteNewest(leaderValue{Name: m.News.Leader, Token: m.News.Token})
 	if c.lead == nil {
 		return
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -450,7 +450,7 @@
 	case a.kind == askSweepCancel && s.outcome == "":
 		c.write(a)
 	case s.outcome == ledger.Cancelled:
-		c.tell(Reply{Req: a.req, Status: 200, Sweep: s.state()}, toldSweep+s.id)
+		c.answerCancelled(Reply{Req: a.req, Status: 200, Sweep: s.state()}, toldSweep+s.id)
 	default:
 		c.emit(Reply{Req: a.req, Status: 200, Sweep: s.state()})
 	}
@@ -619,7 +619,7 @@
 	}
 	r := Reply{Req: a.req, Status: 200, Runs: page}
 	if len(gone) > 0 {
-		c.tell(r, gone...)
+		c.answerCancelled(r, gone...)
 		return
 	}
 	c.emit(r)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -444,7 +444,7 @@
 	}
 	r := Reply{Req: req, Status: 200, Job: s}
 	if e.Outcome == ledger.Cancelled {
-		c.tell(r, id)
+		c.answerCancelled(r, id)
 		return
 	}
 	c.emit(r)
--- a/internal/core/vouching.go
+++ b/internal/core/vouching.go
@@ -23,14 +23,14 @@
 	tellEvery = 100_000
 )
 
-// tells are answers that wait until whoever lives on this controller's word knows
+// heldAnswers are answers that wait until whoever lives on this controller's word knows
 // of the cancellations in them.
-type tells struct {
-	held []heldTell
+type heldAnswers struct {
+	held []heldAnswer
 	sent map[string]int64 // when a controller was last told
 }
 
-type heldTell struct {
+type heldAnswer struct {
 	reply Reply
 	ids   []string
 	since int64
@@ -44,7 +44,7 @@
 		q := c.lead.words.Question(p, c.applied, c.now)
 		e.Ask = &q
 	}
-	if at, ok := c.tells.sent[p]; ok && at == c.now {
+	if at, ok := c.heldAnswers.sent[p]; ok && at == c.now {
 		t := c.witness.Tell(p)
 		e.Tell = &t
 	}
@@ -128,10 +128,10 @@
 	return s != nil && s.outcome == ledger.Cancelled
 }
 
-// tell answers a user with one or more cancellations, once every leader that lives
+// answerCancelled answers a user with one or more cancellations, once every leader that lives
 // on this controller's word knows of them. It is asked to come again if that takes
 // too long: such a leader is cut off, and its right runs out.
-func (c *Core) tell(r Reply, ids ...string) {
+func (c *Core) answerCancelled(r Reply, ids ...string) {
 	for i, id := range ids {
 		if c.sweepTells(id) {
 			id = toldSweep + c.jobs[id].Sweep
@@ -142,11 +142,11 @@
 	switch {
 	case len(c.witness.Lacking(ids, c.now)) == 0:
 		c.emit(r)
-	case len(c.tells.held) >= maxWaiting:
+	case len(c.heldAnswers.held) >= maxWaiting:
 		c.emit(notTold(r.Req))
 	default:
-		c.tells.held = append(c.tells.held, heldTell{r, ids, c.now})
-		c.pushTells()
+		c.heldAnswers.held = append(c.heldAnswers.held, heldAnswer{r, ids, c.now})
+		c.informLeaders()
 	}
 }
 
@@ -154,10 +154,10 @@
 	return Reply{Req: req, Status: 503, Retry: 1, Error: "a controller that may lead has yet to learn of the cancellation"}
 }
 
-// tellNow gives the answers that need not wait any more.
-func (c *Core) tellNow() {
-	keep := c.tells.held[:0]
-	for _, t := range c.tells.held {
+// releaseAnswers gives the answers that need not wait any more.
+func (c *Core) releaseAnswers() {
+	keep := c.heldAnswers.held[:0]
+	for _, t := range c.heldAnswers.held {
 		switch {
 		case len(c.witness.Lacking(t.ids, c.now)) == 0:
 			c.emit(t.reply)
@@ -167,28 +167,28 @@
 			keep = append(keep, t)
 		}
 	}
-	clear(c.tells.held[len(keep):])
-	c.tells.held = keep
+	clear(c.heldAnswers.held[len(keep):])
+	c.heldAnswers.held = keep
 }
 
-// pushTells tells those that have to know first.
-func (c *Core) pushTells() {
+// informLeaders tells those that have to know first.
+func (c *Core) informLeaders() {
 	var ids []string
-	for _, t := range c.tells.held {
+	for _, t := range c.heldAnswers.held {
 		ids = append(ids, t.ids...)
 	}
 	for _, p := range c.witness.Lacking(ids, c.now) {
-		if c.now-c.tells.sent[p] >= tellEvery {
-			c.tells.sent[p] = c.now
+		if c.now-c.heldAnswers.sent[p] >= tellEvery {
+			c.heldAnswers.sent[p] = c.now
 			c.ping(p)
 		}
 	}
 }
 
-func (c *Core) tellsTick() {
-	if len(c.tells.held) > 0 {
-		c.tellNow()
-		c.pushTells()
+func (c *Core) heldAnswersTick() {
+	if len(c.heldAnswers.held) > 0 {
+		c.releaseAnswers()
+		c.informLeaders()
 	}
 }
 
