--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -548,7 +548,7 @@
 	c.heldAnswers.sent = map[string]int64{}
 	c.requests.inFlight = map[string][]*ask{}
 	c.allowance = c.allowanceNow()
-	c.reading = rates.NewBudget(now, c.allowance.Reads)
+	c.reading = rates.NewBudget(now, rates.First)
 	c.list()
 	return c
 }
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -33,8 +33,8 @@
 	// viewed is when what is stored was last asked for only to know it, asked when
 	// the peers were last asked out of turn.
 	viewed, asked int64
-	// words are what the other controllers have vouched for.
-	words *vouch.Words
+	// vouched is what the other controllers have vouched for.
+	vouched *vouch.Vouched
 	// directs are orders that go to machines' own addresses, by machine.
 	directs map[string][]Order
 	fleet   *fleet.Set
@@ -178,7 +178,7 @@
 
 func (c *Core) takeOver(known int64) {
 	c.lead = &leadership{token: c.leader.Token, stamp: c.leaderAt, since: c.now, stored: c.elect.leaseAt, mirrored: known,
-		words: vouch.NewWords(c.set.Peers, c.hold()), directs: map[string][]Order{},
+		vouched: vouch.NewVouched(c.set.Peers, c.hold()), directs: map[string][]Order{},
 		fleet: fleet.NewSet(), roster: newRoster(), leaderState: newLeaderState(c.now)}
 	c.allowance = c.allowanceNow()
 	c.takeHints()
@@ -234,7 +234,7 @@
 // rightAt is up to when nobody else led, and everything that users were told is
 // known here. The other controllers can vouch for both: a token is raised by a
 // take-over alone, and one that leads says so.
-func (l *leadership) rightAt() int64 { return max(l.byState(), l.words.Since()) }
+func (l *leadership) rightAt() int64 { return max(l.byState(), l.vouched.Since()) }
 
 // entitled says whether reports may be answered, sure whether new attempts
 // may be started: the state service's own proof is younger than its lease.
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -218,7 +218,7 @@
 	l := c.lead
 	v.AnswersForS = float64(l.rightAt()+c.hold()-c.now) / 1e6
 	if c.now-l.byState() > askAfter {
-		silent := l.words.Silent(c.now, askAfter)
+		silent := l.vouched.Silent(c.now, askAfter)
 		for _, p := range inOrder(silent) {
 			since := "yet"
 			if silent[p] >= 0 {
--- a/internal/core/proof_test.go
+++ b/internal/core/proof_test.go
@@ -256,7 +256,7 @@
 func TestNewerToken(t *testing.T) {
 	r := newRig(t)
 	r.c.set.Peers = []string{"n1"}
-	r.c.lead.words = vouch.NewWords(r.c.set.Peers, r.c.hold())
+	r.c.lead.vouched = vouch.NewVouched(r.c.set.Peers, r.c.hold())
 	r.mute = true
 	r.tick(5 * second)
 	right := r.c.lead.rightAt()
--- a/internal/core/rates/rates.go
+++ b/internal/core/rates/rates.go
@@ -76,7 +76,7 @@
 // Of is a controller's share.
 func Of(l Limits, m Members) Share {
 	if !m.Shared || m.All < 2 {
-		return alone(l, m.Leads)
+		return alone(l, m)
 	}
 	others := float64(m.All - 1)
 	changes := l.Changes * (1 - leaderChanges)
@@ -109,12 +109,12 @@
 	return own + pool/2/present
 }
 
-// alone is what a controller uses while nothing is shared. Users come in bursts at
-// one controller or another, and far less than that on average: each may use the
-// whole of what the leader leaves.
-func alone(l Limits, leads bool) Share {
-	s := Share{Views: views * l.Requests, Reads: l.Requests, Changes: l.Changes * (1 - leaderChanges)}
-	if leads {
+// alone is what a controller uses while nothing is shared: an even part of the reads.
+// Users come in bursts at one controller or another, and change far less than that on
+// average: each may use the whole of what the leader leaves.
+func alone(l Limits, m Members) Share {
+	s := Share{Views: views * l.Requests, Reads: l.Requests / float64(max(m.All, 1)), Changes: l.Changes * (1 - leaderChanges)}
+	if m.Leads {
 		s.Changes = l.Changes * leaderChanges
 	}
 	return s
@@ -132,8 +132,11 @@
 	at    int64
 }
 
-// NewBudget is a budget that nothing was used of.
-func NewBudget(now int64, rate float64) Budget { return Budget{level: max(rate, leastBurst), at: now} }
+// NewBudget is a budget with so much in it.
+func NewBudget(now int64, level float64) Budget { return Budget{level: level, at: now} }
+
+// First is what a controller that starts may use at once: others may start with it.
+const First = leastBurst
 
 // Refill adds what has come since the last time.
 func (b *Budget) Refill(now int64, rate float64) {
--- a/internal/core/vouch/vouch.go
+++ b/internal/core/vouch/vouch.go
@@ -242,15 +242,15 @@
 	now string
 }
 
-// Words are a leader's side: what it has of each other controller's word.
-type Words struct {
+// Vouched are a leader's side: what it has of each other controller's word.
+type Vouched struct {
 	hold    int64
 	sources map[string]*source
 }
 
-// NewWords makes the words that a leader lives on; it has none yet.
-func NewWords(peers []string, hold int64) *Words {
-	w := &Words{hold: hold, sources: map[string]*source{}}
+// NewVouched makes the words that a leader lives on; it has none yet.
+func NewVouched(peers []string, hold int64) *Vouched {
+	w := &Vouched{hold: hold, sources: map[string]*source{}}
 	for _, p := range peers {
 		w.sources[p] = &source{}
 	}
@@ -262,7 +262,7 @@
 const answersLast = 2_000_000
 
 // Question is what to ask a controller now.
-func (w *Words) Question(peer string, applied uint64, now int64) Question {
+func (w *Vouched) Question(peer string, applied uint64, now int64) Question {
 	s := w.sources[peer]
 	if s == nil {
 		return Question{}
@@ -272,7 +272,7 @@
 }
 
 // Told takes a page, and says whether it is one that goes on from what is known.
-func (w *Words) Told(peer string, p Page) bool {
+func (w *Vouched) Told(peer string, p Page) bool {
 	s := w.sources[peer]
 	if s == nil || p.Boot == "" || s.now != "" && p.Boot != s.now {
 		return false // of an older program, or of an earlier start
@@ -292,7 +292,7 @@
 
 // Answered takes the answer, received now, to a question sent at a time. What the
 // page has is to be taken note of whether or not it counts.
-func (w *Words) Answered(peer string, sent, now int64, p Page) {
+func (w *Vouched) Answered(peer string, sent, now int64, p Page) {
 	if !w.Told(peer, p) || p.More || now-sent >= answersLast {
 		return
 	}
@@ -307,14 +307,14 @@
 
 // Runs notes which start of a controller is running. What comes of another was
 // on its way for long, and counts no more.
-func (w *Words) Runs(peer, boot string) {
+func (w *Vouched) Runs(peer, boot string) {
 	if s := w.sources[peer]; s != nil && boot != "" {
 		s.now = boot
 	}
 }
 
 // Ack is what to answer a controller that has told of cancellations.
-func (w *Words) Ack(peer string, applied uint64, now int64) Ack {
+func (w *Vouched) Ack(peer string, applied uint64, now int64) Ack {
 	s := w.sources[peer]
 	if s == nil {
 		return Ack{}
@@ -330,7 +330,7 @@
 
 // Silent names the controllers that have not vouched for a while, and for how long
 // at most, or -1 for one that never has.
-func (w *Words) Silent(now, longer int64) map[string]int64 {
+func (w *Vouched) Silent(now, longer int64) map[string]int64 {
 	out := map[string]int64{}
 	for name, s := range w.sources {
 		switch {
@@ -345,7 +345,7 @@
 
 // Since is the time up to which every controller has vouched for what it told, 0
 // if one has not.
-func (w *Words) Since() int64 {
+func (w *Vouched) Since() int64 {
 	oldest := int64(-1)
 	for _, s := range w.sources {
 		if oldest < 0 || s.at < oldest {
--- a/internal/core/vouch/vouch_test.go
+++ b/internal/core/vouch/vouch_test.go
@@ -16,7 +16,7 @@
 	now  int64
 	boot int
 	w    *Witness
-	l    *Words
+	l    *Vouched
 	// synced: the witness has read what is stored.
 	synced  bool
 	applied uint64
@@ -24,7 +24,7 @@
 }
 
 func newMeeting() *meeting {
-	m := &meeting{now: second, synced: true, knows: map[string]bool{}, l: NewWords([]string{"x"}, hold)}
+	m := &meeting{now: second, synced: true, knows: map[string]bool{}, l: NewVouched([]string{"x"}, hold)}
 	m.begin()
 	return m
 }
--- a/internal/core/vouching.go
+++ b/internal/core/vouching.go
@@ -41,7 +41,7 @@
 func (c *Core) ping(p string) {
 	e := Ping{Peer: p, Need: c.set.Ops.Reach && c.links.Workers.Lacks(c.set.Zones), Boot: c.set.Boot}
 	if c.lead != nil && (c.stateBad > c.stateOK || c.now-c.lead.byState() > askAfter) {
-		q := c.lead.words.Question(p, c.applied, c.now)
+		q := c.lead.vouched.Question(p, c.applied, c.now)
 		e.Ask = &q
 	}
 	if at, ok := c.heldAnswers.sent[p]; ok && at == c.now {
@@ -78,11 +78,11 @@
 	if c.lead == nil {
 		return
 	}
-	c.lead.words.Runs(m.From, m.Boot)
-	if m.Tell != nil && c.lead.words.Told(m.From, *m.Tell) {
+	c.lead.vouched.Runs(m.From, m.Boot)
+	if m.Tell != nil && c.lead.vouched.Told(m.From, *m.Tell) {
 		c.noteTold(m.Tell.Cancelled)
 	}
-	a := c.lead.words.Ack(m.From, c.applied, c.now)
+	a := c.lead.vouched.Ack(m.From, c.applied, c.now)
 	n.Ack = &a
 }
 
@@ -96,7 +96,7 @@
 	if c.lead == nil {
 		return
 	}
-	c.lead.words.Answered(m.Peer, m.Sent, c.now, *m.News.Vouch)
+	c.lead.vouched.Answered(m.Peer, m.Sent, c.now, *m.News.Vouch)
 	if m.News.Vouch.More {
 		c.ping(m.Peer)
 	}
--- a/internal/core/vouching_test.go
+++ b/internal/core/vouching_test.go
@@ -97,7 +97,7 @@
 // who has not vouched.
 func TestVouchedOps(t *testing.T) {
 	r := newRig(t)
-	r.c.lead.words = vouch.NewWords([]string{"n1", "n2"}, r.c.hold())
+	r.c.lead.vouched = vouch.NewVouched([]string{"n1", "n2"}, r.c.hold())
 	view := func() *OpsView {
 		r.got = nil
 		r.step(Ops{Req: 5})
--- a/internal/peer/ping_test.go
+++ b/internal/peer/ping_test.go
@@ -35,13 +35,13 @@
 			witnesses[i].Note(fmt.Sprintf("req-%06d", n), 0)
 		}
 	}
-	round := func(words *vouch.Words, now int64) {
+	round := func(vouched *vouch.Vouched, now int64) {
 		for i, p := range peers {
 			for more := true; more; {
 				args := PingArgs{From: "n0", Boot: "b"}
 				var reply PingReply
-				if words != nil {
-					q := words.Question(p, 7, now)
+				if vouched != nil {
+					q := vouched.Question(p, 7, now)
 					args.Ask = &q
 				}
 				var asked PingArgs
@@ -53,8 +53,8 @@
 				}
 				send(&answer, &reply)
 				more = false
-				if words != nil {
-					words.Answered(p, now, now, *reply.News.Vouch)
+				if vouched != nil {
+					vouched.Answered(p, now, now, *reply.News.Vouch)
 					more = reply.News.Vouch.More
 				}
 			}
@@ -70,16 +70,16 @@
 	b.Run("heard out first", func(b *testing.B) {
 		total = 0
 		for b.Loop() {
-			round(vouch.NewWords(peers, 10*second), 0)
+			round(vouch.NewVouched(peers, 10*second), 0)
 		}
 		b.ReportMetric(float64(total)/float64(b.N), "B/round")
 	})
 	b.Run("from then on", func(b *testing.B) {
-		words := vouch.NewWords(peers, 10*second)
-		round(words, 0)
+		vouched := vouch.NewVouched(peers, 10*second)
+		round(vouched, 0)
 		total = 0
 		for b.Loop() {
-			round(words, 0)
+			round(vouched, 0)
 		}
 		b.ReportMetric(float64(total)/float64(b.N), "B/round")
 	})
