--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -16,19 +16,19 @@
 	"github.com/zinclb/zinclb/internal/core/ledger"
 )
 
-// crowd is a leader with a fleet of workers and a stream of jobs, all in one
+// workerFleet is a leader with a fleet of workers and a stream of jobs, all in one
 // loop of fake time: what it costs is what the core costs at that size.
-type crowd struct {
-	c     *Core
-	now   int64
-	rev   uint64
-	rng   *rand.Rand
-	set   Settings
-	hands []*hand
-	wait  map[uint64]*hand
-	req   uint64
-	jobs  int
-	late  []any
+type workerFleet struct {
+	c       *Core
+	now     int64
+	rev     uint64
+	rng     *rand.Rand
+	set     Settings
+	workers []*worker
+	wait    map[uint64]*worker
+	req     uint64
+	jobs    int
+	late    []any
 	// stored are the keys of the state service, for a leader that takes over.
 	stored map[string]Change
 	// started counts tasks that came to run, writes the changes stored.
@@ -37,8 +37,8 @@
 	endless bool
 }
 
-// hand is one machine's worker.
-type hand struct {
+// worker is one machine's worker.
+type worker struct {
 	name, zone string
 	dead       bool
 	noticed    bool
@@ -47,19 +47,19 @@
 	due        int64
 	busy       bool
 	changed    bool
-	tasks      map[string]*handTask
-	order      []*handTask
+	tasks      map[string]*workerTask
+	order      []*workerTask
 }
 
-type handTask struct {
+type workerTask struct {
 	name        string
 	attempt     uint32
 	state, why  string
 	runs, ready int64
 }
 
-func newCrowd(machines int) *crowd {
-	w := &crowd{now: second, rev: 10, rng: rand.New(rand.NewPCG(3, 4)), wait: map[uint64]*hand{}, stored: map[string]Change{}}
+func newWorkerFleet(machines int) *workerFleet {
+	w := &workerFleet{now: second, rev: 10, rng: rand.New(rand.NewPCG(3, 4)), wait: map[uint64]*worker{}, stored: map[string]Change{}}
 	w.set = Settings{Name: "n0", Boot: "b", Ops: config.Defaults()}
 	w.set.Size, w.set.Zones = 1, []string{"a", "b", "c"}
 	w.set.Teams = []config.Team{{Name: "red", GPUs: 4000, GPUsMax: 15000}, {Name: "blue", GPUs: 2500, GPUsMax: 6000}}
@@ -73,7 +73,7 @@
 	w.store(typesKey, encode(types))
 	w.step(Listed{Ledger: 10, Rows: []Change{w.stored[tokenKey], w.stored[typesKey]}})
 	for i := range machines {
-		w.hands = append(w.hands, &hand{name: fmt.Sprintf("host-%06d", i), zone: w.set.Zones[i%3], due: w.now + w.rng.Int64N(8*second), tasks: map[string]*handTask{}})
+		w.workers = append(w.workers, &worker{name: fmt.Sprintf("host-%06d", i), zone: w.set.Zones[i%3], due: w.now + w.rng.Int64N(8*second), tasks: map[string]*workerTask{}})
 	}
 	for w.c.lead == nil {
 		w.tick()
@@ -81,7 +81,7 @@
 	return w
 }
 
-func (w *crowd) step(msg any) {
+func (w *workerFleet) step(msg any) {
 	for _, e := range w.c.Step(w.now, msg) {
 		switch e := e.(type) {
 		case Reply:
@@ -118,7 +118,7 @@
 }
 
 // store keeps a key as the state service does.
-func (w *crowd) store(key string, value []byte) {
+func (w *workerFleet) store(key string, value []byte) {
 	if value == nil {
 		delete(w.stored, key)
 		return
@@ -127,14 +127,14 @@
 }
 
 // crash ends the leader and starts another controller in its place.
-func (w *crowd) crash() {
+func (w *workerFleet) crash() {
 	delete(w.stored, LeaderKey)
 	w.rev++
 	rows := slices.SortedFunc(maps.Values(w.stored), func(a, b Change) int { return cmp.Compare(a.Key, b.Key) })
-	w.late, w.wait = nil, map[uint64]*hand{}
+	w.late, w.wait = nil, map[uint64]*worker{}
 	w.set.Boot += "b"
 	w.c = New(w.set, w.now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
-	for _, h := range w.hands {
+	for _, h := range w.workers {
 		h.busy, h.due = false, w.now+w.rng.Int64N(8*second)
 	}
 	w.step(Listed{Ledger: w.rev, Rows: rows})
@@ -144,7 +144,7 @@
 }
 
 // obey carries out the orders of an answer.
-func (w *crowd) obey(h *hand, r Reply) {
+func (w *workerFleet) obey(h *worker, r Reply) {
 	if r.Token > h.token {
 		h.token, h.changed = r.Token, true
 	}
@@ -155,7 +155,7 @@
 			if t != nil {
 				continue
 			}
-			h.tasks[o.Task] = &handTask{name: o.Task, attempt: o.Attempt, state: "fetching", ready: w.now + 3*second, runs: 10*second + w.rng.Int64N(60*second)}
+			h.tasks[o.Task] = &workerTask{name: o.Task, attempt: o.Attempt, state: "fetching", ready: w.now + 3*second, runs: 10*second + w.rng.Int64N(60*second)}
 			h.order = append(h.order, h.tasks[o.Task])
 			h.changed = true
 		case "stop":
@@ -164,13 +164,13 @@
 			}
 		case "forget":
 			delete(h.tasks, o.Task)
-			h.order = slices.DeleteFunc(h.order, func(t *handTask) bool { return t.name == o.Task })
+			h.order = slices.DeleteFunc(h.order, func(t *workerTask) bool { return t.name == o.Task })
 		}
 	}
 }
 
 // tick plays 50 ms.
-func (w *crowd) tick() {
+func (w *workerFleet) tick() {
 	w.now += 50_000
 	late := w.late
 	w.late = nil
@@ -178,7 +178,7 @@
 		w.step(m)
 	}
 	w.step(Tick{Wall: w.now + 1_000_000*second})
-	for _, h := range w.hands {
+	for _, h := range w.workers {
 		if h.dead {
 			continue
 		}
@@ -214,7 +214,7 @@
 }
 
 // submit adds a job of one of three sorts.
-func (w *crowd) submit() {
+func (w *workerFleet) submit() {
 	w.jobs++
 	s := &ledger.Spec{ID: fmt.Sprintf("job-%06d", w.jobs), Class: "c", Team: "red", Image: fmt.Sprint("im-", w.rng.IntN(12)), ImageMB: 5000, Spot: true, Estimate: 20*second + w.rng.Int64N(100*second)}
 	switch w.rng.IntN(3) {
@@ -229,14 +229,14 @@
 }
 
 // add has a job accepted.
-func (w *crowd) add(s *ledger.Spec) {
+func (w *workerFleet) add(s *ledger.Spec) {
 	w.rev++
 	w.store(jobPrefix+s.ID, encode(ledger.Record{Spec: s}))
 	w.late = append(w.late, Watched{After: w.rev - 1, Ledger: w.rev, Changes: []Change{w.stored[jobPrefix+s.ID]}})
 }
 
 // play plays some seconds with a rate of jobs.
-func (w *crowd) play(seconds int, rate float64) {
+func (w *workerFleet) play(seconds int, rate float64) {
 	owed := 0.0
 	for range seconds * 20 {
 		for owed += rate / 20; owed >= 1; owed-- {
@@ -248,9 +248,9 @@
 
 // running counts the tasks that run on machines that are there, and fails for
 // one that is on two.
-func (w *crowd) running(t testing.TB) int {
+func (w *workerFleet) running(t testing.TB) int {
 	on := map[string]string{}
-	for _, h := range w.hands {
+	for _, h := range w.workers {
 		for name, task := range h.tasks {
 			if h.dead || task.state == "exited" {
 				continue
@@ -272,7 +272,7 @@
 	if raceEnabled || testing.Short() {
 		machines, jobs = 1000, 5 // it is the same code, ten times as slow
 	}
-	w := newCrowd(machines)
+	w := newWorkerFleet(machines)
 	w.endless = true
 	w.play(10, 0)
 	for k := range jobs {
@@ -293,7 +293,7 @@
 	if n := w.running(t); n != jobs*each || known != machines {
 		t.Fatalf("after the take-over %d tasks run, want %d, and %d machines are known", n, jobs*each, known)
 	}
-	for i, h := range w.hands {
+	for i, h := range w.workers {
 		h.dead = i%3 == 0
 	}
 	w.play(120, 0)
@@ -314,10 +314,10 @@
 // through all of them would give it.
 func TestRoster(t *testing.T) {
 	for seed := range uint64(4) {
-		w := newCrowd(40)
+		w := newWorkerFleet(40)
 		w.rng = rand.New(rand.NewPCG(seed, 5))
 		for range 1500 {
-			switch h := w.hands[w.rng.IntN(len(w.hands))]; w.rng.IntN(60) {
+			switch h := w.workers[w.rng.IntN(len(w.workers))]; w.rng.IntN(60) {
 			case 0:
 				h.dead = !h.dead
 			case 1:
@@ -372,12 +372,12 @@
 	}
 }
 
-// BenchmarkCrowd is the cost of leading for a second, with more work than
+// BenchmarkLeader is the cost of leading for a second, with more work than
 // the machines can take.
-func BenchmarkCrowd(b *testing.B) {
+func BenchmarkLeader(b *testing.B) {
 	for _, n := range []int{50, 400, 1600} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			w := newCrowd(n)
+			w := newWorkerFleet(n)
 			w.play(90, float64(n)/350)
 			w.started, w.writes = 0, 0
 			b.ResetTimer()
@@ -397,7 +397,7 @@
 	for _, n := range []int{400, 1600, 6400} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			const rate = 400.0 / 350
-			w := newCrowd(n)
+			w := newWorkerFleet(n)
 			w.play(90, rate)
 			w.started, w.writes = 0, 0
 			b.ReportAllocs()
@@ -422,21 +422,21 @@
 				rows = append(rows, Change{Key: key, Value: value, Stamp: uint64(len(rows) + 1)})
 			}
 			add(tokenKey, encode(tokenValue{5}))
-			w := newCrowd(n)
+			w := newWorkerFleet(n)
 			add(typesKey, encode(w.c.types))
 			for k := range n / 25 {
 				s := &ledger.Spec{ID: fmt.Sprint("job-", k), Team: "red", Kind: ledger.Array, Tasks: 100, Need: ledger.Vec{CPU: 5000, GPU: 1000, Mem: 27000}, Estimate: 30 * second}
 				j := ledger.NewJob(s)
 				for i := range s.Tasks {
-					j.Place(i, w.hands[(k*25+i/4)%n].name, 1, 1)
+					j.Place(i, w.workers[(k*25+i/4)%n].name, 1, 1)
 				}
 				v, _ := j.Take(0, 0)
 				add(jobPrefix+s.ID, encode(ledger.Record{Spec: s}))
 				add(runKey(s.ID, ledger.Value{Span: ledger.ChunkTasks}), v)
 			}
 			for b.Loop() {
-				next := &crowd{now: second, rev: uint64(len(rows) + 1), rng: w.rng, wait: map[uint64]*hand{}, hands: w.hands, stored: map[string]Change{}}
-				for _, h := range next.hands {
+				next := &workerFleet{now: second, rev: uint64(len(rows) + 1), rng: w.rng, wait: map[uint64]*worker{}, workers: w.workers, stored: map[string]Change{}}
+				for _, h := range next.workers {
 					h.busy, h.due, h.token = false, second, 0
 				}
 				next.c = New(w.set, next.now, rand.New(rand.NewPCG(1, 1)), slog.New(slog.DiscardHandler))
