--- a/internal/core/rates/rates_test.go
+++ b/internal/core/rates/rates_test.go
@@ -161,7 +161,7 @@
 	if other.Level() != 12 {
 		t.Errorf("what was given is lost: %.1f", other.Level())
 	}
-	tiny := NewBudget(0, 0.5)
+	tiny := NewBudget(0, First)
 	if !tiny.Take() || !tiny.Take() || tiny.Take() {
 		t.Error("a small share does not reach for a cancellation")
 	}
