--- a/internal/core/beat.go
+++ b/internal/core/beat.go
@@ -28,7 +28,7 @@
 		m = fleet.New(name, c.now)
 		if c.now == c.lead.since {
 			// An earlier leader may go on answering it for the hold time.
-			m.Answered = c.now + c.hold()
+			m.Answered = c.now + c.set.Hold()
 		}
 		if r, ok := c.lead.gone.last[name]; ok {
 			// Copies of its reports may still come: they are not news.
@@ -53,7 +53,7 @@
 	}
 	if c.lead != nil {
 		holder := c.bounds.Holder(name)
-		if b.From == "" && holder != "" && holder != c.set.Name && c.peerUp(holder) && !c.links.Blind(holder, b.Report.Zone) && c.mayRedirect(&b.Report, c.lead.token) {
+		if b.From == "" && holder != "" && holder != c.set.Name && c.links.PeerUp(holder, c.now) && !c.links.Blind(holder, b.Report.Zone) && c.mayRedirect(&b.Report, c.lead.token) {
 			c.emit(Reply{Req: b.Req, Status: 421, Leader: holder})
 			return
 		}
@@ -63,7 +63,7 @@
 	}
 	c.noteNewest(c.leader)
 	leader := c.newest.Name
-	up := leader != "" && leader != c.set.Name && c.peerUp(leader)
+	up := leader != "" && leader != c.set.Name && c.links.PeerUp(leader, c.now)
 	if b.From != "" {
 		if b.Onward && up {
 			c.emit(Relay{Req: b.Req, To: leader, Report: b.Report})
@@ -82,7 +82,7 @@
 		return
 	}
 	to := c.bounds.Holder(name)
-	if to == "" || to == c.set.Name || !c.peerUp(to) || c.links.Blind(to, b.Report.Zone) {
+	if to == "" || to == c.set.Name || !c.links.PeerUp(to, c.now) || c.links.Blind(to, b.Report.Zone) {
 		to = leader
 	}
 	c.emit(Reply{Req: b.Req, Status: 421, Leader: to})
--- a/internal/core/carried_test.go
+++ b/internal/core/carried_test.go
@@ -28,7 +28,7 @@
 		t.Errorf("the first leader of all has room for %d, and warms: %v", got, warms())
 	}
 	r.c.lead.token = 6
-	r.tick(r.c.silence())
+	r.tick(r.c.set.Silence())
 	if got := room(); got != 4000 || !warms() {
 		t.Errorf("once they are gone there is room for %d, and it warms: %v", got, warms())
 	}
--- a/internal/core/cloudby.go
+++ b/internal/core/cloudby.go
@@ -102,11 +102,6 @@
 	}
 }
 
-// ours says whether a call of the cloud was made under the present leadership. The
-// answer to one of an earlier term of this controller says nothing of the calls of
-// this one: another has led in between.
-func (c *Core) ours(token uint64) bool { return c.lead != nil && c.lead.token == token }
-
 func (c *Core) cloudBy() string {
 	if !c.set.Ops.Reach {
 		return ""
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -697,3 +697,14 @@
 		c.leadTick()
 	}
 }
+
+// LeaseTime is after how long without an answer a worker has certainly ended its
+// session.
+func (s *Settings) LeaseTime() int64 { return drift(config.Secs(s.Workers.LeaseS)) + second }
+
+// Silence is the same for a new leader, as an earlier one may go on answering for the
+// hold time.
+func (s *Settings) Silence() int64 { return s.Hold() + s.LeaseTime() }
+
+// Overdue is for how long a machine may be silent and still be used.
+func (s *Settings) Overdue() int64 { return config.Secs(s.Workers.ReportS)*2 + second }
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -42,6 +42,18 @@
 	leaderState
 }
 
+// ours says whether a call of the cloud was made under this leadership; there may be
+// none. The answer to one of an earlier term of this controller says nothing of the
+// calls of this one: another has led in between.
+func (l *leadership) ours(token uint64) bool { return l != nil && l.token == token }
+
+// begins says whether this leadership, if there is one, has just begun: the others may
+// still use what nobody leading leaves them.
+func (l *leadership) begins(now int64) bool { return l != nil && now-l.since < seenBy }
+
+// seenBy is how long the others may take to see that a controller leads.
+const seenBy = 300_000
+
 // drift widens a duration by what two steady clocks may differ.
 func drift(d int64) int64 { return d + d/1000 }
 
@@ -178,7 +190,7 @@
 
 func (c *Core) takeOver(known int64) {
 	c.lead = &leadership{token: c.leader.Token, stamp: c.leaderAt, since: c.now, stored: c.elect.leaseAt, mirrored: known,
-		vouched: vouch.NewVouched(c.set.Peers, c.hold()), directs: map[string][]Order{},
+		vouched: vouch.NewVouched(c.set.Peers, c.set.Hold()), directs: map[string][]Order{},
 		fleet: fleet.NewSet(), roster: newRoster(), leaderState: newLeaderState(c.now)}
 	c.allowance = c.allowanceNow()
 	c.takeHints()
@@ -224,9 +236,6 @@
 	c.stepDown(why)
 }
 
-// hold is how long reports are still answered without proof of the token.
-func (c *Core) hold() int64 { return c.set.Hold() }
-
 // byState is up to when the state service has proved the token and shown all that
 // is stored. A renewal proves the token alone: the mirror may lag behind it.
 func (l *leadership) byState() int64 { return min(l.stored, l.mirrored) }
@@ -238,7 +247,7 @@
 
 // entitled says whether reports may be answered, sure whether new attempts
 // may be started: the state service's own proof is younger than its lease.
-func (c *Core) entitled() bool { return c.lead != nil && c.now-c.lead.rightAt() < c.hold() }
+func (c *Core) entitled() bool { return c.lead != nil && c.now-c.lead.rightAt() < c.set.Hold() }
 
 func (c *Core) sure() bool {
 	return c.lead != nil && c.now-c.lead.stored < c.set.Ops.LeaderLease
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -20,26 +20,20 @@
 // viewSource is the controller that is asked for what is stored, "" for the state
 // service itself.
 func (c *Core) viewSource() string {
-	if c.lead != nil || !c.synced || c.leaderAt == 0 || c.stateLost() || !c.activation.Enabled(upgrade.SharedReads) || !c.peerUp(c.leader.Name) {
+	if c.lead != nil || !c.synced || c.leaderAt == 0 || c.stateLost() || !c.activation.Enabled(upgrade.SharedReads) || !c.links.PeerUp(c.leader.Name, c.now) {
 		return ""
 	}
 	c.follower.Led(c.leader.Name, c.leader.Token)
 	return c.follower.Source(c.now)
 }
 
-// awaitsNews says whether the mirror lacks something: a revision that an answer has
-// told of, or the changes of a transaction whose answer may be lost.
-func (c *Core) awaitsNews() bool {
-	return c.behind > c.applied || c.txns.Unanswered(c.now, newsGap)
-}
-
-// lackingChanges is how many changes users' requests wait for.
-func (c *Core) lackingChanges() int {
-	if len(c.requests.writes) == 0 || c.budget.Level() >= 1 {
+// lackingChanges is how many changes requests wait for, with so many left.
+func (d *requests) lackingChanges(left float64) int {
+	if len(d.writes) == 0 || left >= 1 {
 		return 0
 	}
 	n := 0
-	for _, a := range c.requests.writes {
+	for _, a := range d.writes {
 		n += a.changes()
 	}
 	return n
@@ -64,7 +58,7 @@
 		c.emit(r)
 		return
 	}
-	granted := c.budget.Give(a.need, c.usersLeast())
+	granted := c.budget.Give(a.need, usersLeast(c.allowance, c.lead != nil))
 	c.emit(Reply{Req: a.req, Status: 200, View: &replica.View{Ledger: c.applied, Changes: changes, Granted: granted}})
 }
 
@@ -112,18 +106,11 @@
 	c.watch()
 }
 
-// seenBy is how long the others may take to see that this controller leads.
-const seenBy = 300_000
-
-// begins says whether this controller has just begun to lead: the others may still
-// use what nobody leading leaves them.
-func (c *Core) begins() bool { return c.lead != nil && c.now-c.lead.since < seenBy }
-
 // allowanceNow is what this controller may use of the state service.
 func (c *Core) allowanceNow() rates.Share {
 	l := c.limits()
 	present, older := c.activation.Present(upgrade.SharedReads, c.leader.Name)
 	proven := c.elect.lease != 0 && c.now-c.elect.leaseAt < c.set.Ops.LeaderLease && c.activation.MemberFor(c.now) > rates.Settled && c.now-c.mirrorAt < rates.Fresh
 	return rates.Of(rates.Limits{Requests: l.RPS, Changes: l.WriteRPS}, rates.Members{All: len(c.set.Peers) + 1, Present: present, Older: older,
-		Proven: proven, Led: c.leaderAt != 0 && !c.begins(), Leads: c.lead != nil, Shared: c.activation.Enabled(upgrade.SharedReads)})
+		Proven: proven, Led: c.leaderAt != 0 && !c.lead.begins(c.now), Leads: c.lead != nil, Shared: c.activation.Enabled(upgrade.SharedReads)})
 }
--- a/internal/core/hints.go
+++ b/internal/core/hints.go
@@ -169,7 +169,7 @@
 // inherit puts the last leader's sources to use.
 func (c *Core) inherit() {
 	l := c.lead
-	if len(l.inherited) == 0 || c.now-l.since < c.silence() {
+	if len(l.inherited) == 0 || c.now-l.since < c.set.Silence() {
 		return
 	}
 	for _, s := range l.inherited {
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 	"github.com/zinclb/zinclb/internal/core/rates"
@@ -32,7 +33,7 @@
 	c.synced = false
 	if !c.listing && c.unfit == "" {
 		c.listing = true
-		c.emit(c.listAll())
+		c.emit(listAll(c.limits(), len(c.set.Peers)+1))
 	}
 }
 
@@ -40,8 +41,8 @@
 const besidesList = 5
 
 // listAll reads everything, at the pace that all controllers can keep at once.
-func (c *Core) listAll() List {
-	each := c.limits().RPS / float64(len(c.set.Peers)+1)
+func listAll(l config.StateLimits, controllers int) List {
+	each := l.RPS / float64(controllers)
 	return List{AtOnce: max(1, int(each)-besidesList), Gap: rates.Gap(each / 2)}
 }
 
@@ -51,7 +52,7 @@
 	if m.Err != nil {
 		c.log.Debug("listing the state failed", "err", m.Err)
 		c.listing = true
-		c.emit(c.listAll()) // the store paces repeats
+		c.emit(listAll(c.limits(), len(c.set.Peers)+1)) // the store paces repeats
 		return
 	}
 	c.jobs = map[string]*ledger.Job{}
--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -157,8 +157,8 @@
 		v.Troubles = append(v.Troubles, "not all controllers are known to have this version: awaits is refused")
 	}
 	for _, p := range c.set.Peers {
-		v.Peers = append(v.Peers, OpsPeer{p, c.peerUp(p)})
-		if !c.peerUp(p) {
+		v.Peers = append(v.Peers, OpsPeer{p, c.links.PeerUp(p, c.now)})
+		if !c.links.PeerUp(p, c.now) {
 			v.Troubles = append(v.Troubles, "controller "+p+" does not answer")
 		}
 	}
@@ -216,7 +216,7 @@
 
 func (c *Core) opsLeader(v *OpsView) {
 	l := c.lead
-	v.AnswersForS = float64(l.rightAt()+c.hold()-c.now) / 1e6
+	v.AnswersForS = float64(l.rightAt()+c.set.Hold()-c.now) / 1e6
 	if c.now-l.byState() > askAfter {
 		silent := l.vouched.Silent(c.now, askAfter)
 		for _, p := range inOrder(silent) {
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -12,9 +12,6 @@
 	stateOK int64 // when, at the latest, the state service answered it
 }
 
-// peerUp says whether a peer has answered of late.
-func (c *Core) peerUp(p string) bool { return c.links.PeerUp(p, c.now) }
-
 func (c *Core) onPinged(m Pinged) {
 	c.links.Called(m.From, c.now)
 	c.noteNewest(c.leader)
@@ -164,7 +161,7 @@
 	best := ""
 	for _, p := range c.set.Peers {
 		v := c.peers[p]
-		if c.peerUp(p) && c.now-v.stateOK < 3*second && (best == "" || v.stateOK > c.peers[best].stateOK) {
+		if c.links.PeerUp(p, c.now) && c.now-v.stateOK < 3*second && (best == "" || v.stateOK > c.peers[best].stateOK) {
 			best = p
 		}
 	}
--- a/internal/core/plan.go
+++ b/internal/core/plan.go
@@ -533,7 +533,7 @@
 // silentTick clears the placements of machines whose lease must have run
 // out: hold and lease after the last answer that anybody can have given.
 func (c *Core) silentTick() {
-	lease := c.leaseTime()
+	lease := c.set.LeaseTime()
 	for _, m := range c.lead.fleet.All() {
 		if len(m.Placed) == 0 || c.now-m.Answered < lease {
 			continue
@@ -542,13 +542,6 @@
 	}
 }
 
-// leaseTime is after how long without an answer a worker has certainly ended
-// its session, and silence the same for a new leader, as an earlier one may
-// go on answering for the hold time.
-func (c *Core) leaseTime() int64 { return drift(config.Secs(c.set.Workers.LeaseS)) + second }
-
-func (c *Core) silence() int64 { return c.hold() + c.leaseTime() }
-
 // gone clears everything on a machine: all of it has ended for certain.
 func (c *Core) gone(m *fleet.Machine, why string) {
 	if len(m.Placed) > 0 {
@@ -658,7 +651,7 @@
 func (c *Core) holders() []string {
 	up := []string{}
 	for _, p := range append([]string{c.set.Name}, c.set.Peers...) {
-		if (p == c.set.Name || c.peerUp(p)) && !c.links.Deaf(p) && !c.shun(p) {
+		if (p == c.set.Name || c.links.PeerUp(p, c.now)) && !c.links.Deaf(p) && !c.shun(p) {
 			up = append(up, p)
 		}
 	}
--- a/internal/core/proof_test.go
+++ b/internal/core/proof_test.go
@@ -202,7 +202,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newRig(t)
-			hold = r.c.hold()
+			hold = r.c.set.Hold()
 			tc.do(r)
 			if got := r.placed(); got != tc.want {
 				t.Errorf("placed %s, want %s", got, tc.want)
@@ -233,7 +233,7 @@
 	r.beat(5, 1, running(3))
 	r.mute = true
 	start := r.c.lead.rightAt()
-	for r.now-start < r.c.hold()-second {
+	for r.now-start < r.c.set.Hold()-second {
 		if s, _ := r.beat(r.token, 1, running(3)); s != 200 {
 			t.Fatalf("status %d after %d ms of hold", s, (r.now-start)/1000)
 		}
@@ -246,8 +246,8 @@
 	if s, _ := r.beat(r.token, 1, running(3)); s != 503 {
 		t.Errorf("status %d after hold", s)
 	}
-	if cancel := config.Secs(r.c.set.Workers.CancelS); r.c.hold()+r.c.leaseTime() >= cancel {
-		t.Errorf("hold %d and lease leave nothing of cancel_s", r.c.hold())
+	if cancel := config.Secs(r.c.set.Workers.CancelS); r.c.set.Hold()+r.c.set.LeaseTime() >= cancel {
+		t.Errorf("hold %d and lease leave nothing of cancel_s", r.c.set.Hold())
 	}
 }
 
@@ -256,7 +256,7 @@
 func TestNewerToken(t *testing.T) {
 	r := newRig(t)
 	r.c.set.Peers = []string{"n1"}
-	r.c.lead.vouched = vouch.NewVouched(r.c.set.Peers, r.c.hold())
+	r.c.lead.vouched = vouch.NewVouched(r.c.set.Peers, r.c.set.Hold())
 	r.mute = true
 	r.tick(5 * second)
 	right := r.c.lead.rightAt()
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -86,7 +86,7 @@
 
 func (c *Core) onTypes(m Types) {
 	c.cloudEnded(m.By, m.Err)
-	if !c.ours(m.Token) {
+	if !c.lead.ours(m.Token) {
 		return
 	}
 	c.lead.cloud.busy--
@@ -128,7 +128,7 @@
 
 func (c *Core) onMachines(m Machines) {
 	c.cloudEnded(m.By, m.Err)
-	if !c.ours(m.Token) {
+	if !c.lead.ours(m.Token) {
 		return
 	}
 	s := &c.lead.cloud
@@ -313,7 +313,7 @@
 		return
 	}
 	s := &c.lead.cloud
-	ours := c.ours(m.Token)
+	ours := c.lead.ours(m.Token)
 	if ours {
 		s.busy--
 	}
@@ -467,7 +467,7 @@
 }
 
 func (c *Core) onRented(m Rented) {
-	if !c.ours(m.Rent.Token) {
+	if !c.lead.ours(m.Rent.Token) {
 		return // what was rented shows in the list
 	}
 	s := &c.lead.cloud
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -6,7 +6,6 @@
 
 	"github.com/tidwall/btree"
 
-	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 	"github.com/zinclb/zinclb/internal/core/sched"
@@ -38,12 +37,9 @@
 // usable says whether tasks may be placed on a machine now: its worker has
 // accepted this leader, hears it, reports in time, and the machine is to stay.
 func (c *Core) usable(m *fleet.Machine) bool {
-	return m.Fresh && !m.Delivery.Deaf && !m.Drain && !m.Releasing && m.NoticeAt == 0 && m.Heard > c.now-c.overdue() && m.Cap != ledger.Vec{}
+	return m.Fresh && !m.Delivery.Deaf && !m.Drain && !m.Releasing && m.NoticeAt == 0 && m.Heard > c.now-c.set.Overdue() && m.Cap != ledger.Vec{}
 }
 
-// overdue is for how long a machine may be silent and still be used.
-func (c *Core) overdue() int64 { return config.Secs(c.set.Workers.ReportS)*2 + second }
-
 // refresh repairs the index and returns it.
 func (c *Core) refresh() *sched.Index {
 	l := c.lead
@@ -56,7 +52,7 @@
 	l.fleet.Changed(c.repair)
 	for {
 		v, ok := r.heard.Min()
-		if !ok || v.heard > c.now-c.overdue() {
+		if !ok || v.heard > c.now-c.set.Overdue() {
 			return r.index
 		}
 		c.repair(l.fleet.Get(v.Name))
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -221,7 +221,7 @@
 		c.emit(View{After: c.applied, Asked: true})
 		return
 	}
-	c.emit(AskView{To: source, After: c.applied, Number: c.follower.Ask(), Need: c.lackingChanges()})
+	c.emit(AskView{To: source, After: c.applied, Number: c.follower.Ask(), Need: c.requests.lackingChanges(c.budget.Level())})
 }
 
 func (c *Core) onView(ok bool) {
@@ -313,7 +313,7 @@
 			d.writes = d.writes[1:]
 			continue
 		}
-		if c.budget.Level() < c.usersLeast() {
+		if c.budget.Level() < usersLeast(c.allowance, c.lead != nil) {
 			return
 		}
 		d.writes = d.writes[1:]
@@ -335,11 +335,11 @@
 // usersLeast is the least budget with which a user's request is written. Users come
 // before placements, so they may use what the leader's own writes keep back, and some
 // of what it will have.
-func (c *Core) usersLeast() float64 {
-	if c.lead == nil {
+func usersLeast(s rates.Share, leads bool) float64 {
+	if !leads {
 		return 1
 	}
-	return 1 - c.allowance.Changes/4
+	return 1 - s.Changes/4
 }
 
 func (c *Core) create(a *ask) {
@@ -475,12 +475,15 @@
 		return
 	}
 	source, age := c.viewSource(), d.views.Age(c.now)
+	// The mirror lacks a revision that an answer has told of, or the changes of a
+	// transaction whose answer may be lost.
+	lacks := c.behind > c.applied || c.txns.Unanswered(c.now, newsGap)
 	switch {
 	case c.stateLost() && age > second/2:
 		// Requests are refused meanwhile, so something has to find out
 		// when the state service answers again.
 		c.beginView("")
-	case source != "" && (c.follower.Due(c.now, age) || c.awaitsNews() && age > newsGap || c.lackingChanges() > 0):
+	case source != "" && (c.follower.Due(c.now, age) || lacks && age > newsGap || d.lackingChanges(c.budget.Level()) > 0):
 		c.beginView(source)
 	}
 }
--- a/internal/core/vouching_test.go
+++ b/internal/core/vouching_test.go
@@ -31,7 +31,7 @@
 	if at := b.c.lead.rightAt(); at != b.now-second/2 {
 		t.Errorf("right from %d, the mirror is of %d", at, b.now-second/2)
 	}
-	b.run(b.c.hold() + second)
+	b.run(b.c.set.Hold() + second)
 	if b.c.entitled() {
 		t.Error("answers without knowing what users were told")
 	}
@@ -42,7 +42,7 @@
 func TestTell(t *testing.T) {
 	s := newShelf(t, map[string]any{jobPrefix + "a": job("a"), jobPrefix + "c": job("c")})
 	s.c.set.Peers = []string{"n1"}
-	s.c.witness = vouch.NewWitness("b", s.c.set.Peers, s.c.hold(), s.now)
+	s.c.witness = vouch.NewWitness("b", s.c.set.Peers, s.c.set.Hold(), s.now)
 	// ask sends a request and gives what there is of an answer after a while.
 	ask := func(build func(req uint64) any) (uint64, Reply) {
 		s.req++
@@ -87,7 +87,7 @@
 	if _, r := ask(cancel("c")); r.Status != 0 {
 		t.Errorf("answered %d", r.Status)
 	}
-	s.run(s.c.hold() + 2*second)
+	s.run(s.c.set.Hold() + 2*second)
 	if _, r := ask(cancel("c")); r.Status != 200 {
 		t.Errorf("nobody can live on its word any more: %+v", r)
 	}
@@ -97,7 +97,7 @@
 // who has not vouched.
 func TestVouchedOps(t *testing.T) {
 	r := newRig(t)
-	r.c.lead.vouched = vouch.NewVouched([]string{"n1", "n2"}, r.c.hold())
+	r.c.lead.vouched = vouch.NewVouched([]string{"n1", "n2"}, r.c.set.Hold())
 	view := func() *OpsView {
 		r.got = nil
 		r.step(Ops{Req: 5})
@@ -147,7 +147,7 @@
 		t.Fatal("no runs")
 	}
 	s.c.set.Peers = []string{"n1"}
-	s.c.witness = vouch.NewWitness("b", s.c.set.Peers, s.c.hold(), s.now)
+	s.c.witness = vouch.NewWitness("b", s.c.set.Peers, s.c.set.Hold(), s.now)
 	s.step(PeerSeen{Peer: "n1", Sent: s.now, OK: true, News: PeerNews{Ack: &vouch.Ack{}}})
 	ask := func() *vouch.Page {
 		s.step(Pinged{Req: 900, From: "n1", Boot: "x", Ask: &vouch.Question{}})
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -297,7 +297,7 @@
 const carriedShare = 0.125
 
 // carriersOut says whether an earlier leader's warming may still be on machines.
-func (c *Core) carriersOut() bool { return c.lead.token > 1 && c.now-c.lead.since < c.silence() }
+func (c *Core) carriersOut() bool { return c.lead.token > 1 && c.now-c.lead.since < c.set.Silence() }
 
 // carried is the share of a limit that warming may use now.
 func (c *Core) carried() float64 {
