--- a/internal/core/ops.go
+++ b/internal/core/ops.go
@@ -14,14 +14,18 @@
 
 // OpsView is one controller's view of the service, for operators.
 type OpsView struct {
-	Controller string      `json:"controller"`
-	Leader     string      `json:"leader"`
-	Token      uint64      `json:"token"`
-	Leading    bool        `json:"leading"`
-	Synced     bool        `json:"synced"`
-	Revision   uint64      `json:"revision"`
-	StateAgeS  float64     `json:"state_silent_s"`
-	WritesLeft float64     `json:"writes_left"`
+	Controller string  `json:"controller"`
+	Leader     string  `json:"leader"`
+	Token      uint64  `json:"token"`
+	Leading    bool    `json:"leading"`
+	Synced     bool    `json:"synced"`
+	Revision   uint64  `json:"revision"`
+	StateAgeS  float64 `json:"state_silent_s"`
+	WritesLeft float64 `json:"writes_left"`
+	// ReadsLeft is what is left of its share of reads, ReadsBy the controller that it
+	// asks for what is stored, "" for the state service.
+	ReadsLeft  float64     `json:"reads_left"`
+	ReadsBy    string      `json:"reads_by"`
 	CallsLeft  float64     `json:"cloud_calls_left"`
 	Peers      []OpsPeer   `json:"peers"`
 	Partitions []OpsPart   `json:"partitions"`
@@ -147,7 +151,7 @@
 func (c *Core) onOps(m Ops) {
 	c.noteNewest(c.leader)
 	v := &OpsView{Controller: c.set.Name, Leader: c.newest.Name, Token: c.newest.Token, Leading: c.lead != nil, Synced: c.synced,
-		Revision: c.applied, StateAgeS: float64(c.stateAge()) / 1e6, WritesLeft: c.budget.Level(), Jobs: len(c.jobs), Format: max(c.format.Version, 1), Lowered: c.lowered, Troubles: []string{}}
+		Revision: c.applied, StateAgeS: float64(c.stateAge()) / 1e6, WritesLeft: c.budget.Level(), ReadsLeft: c.reading.Level(), ReadsBy: c.viewSource(), Jobs: len(c.jobs), Format: max(c.format.Version, 1), Lowered: c.lowered, Troubles: []string{}}
 	for _, j := range c.jobs {
 		if j.Over == "" && j.Waits() {
 			v.Awaiting++
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -46,6 +46,7 @@
 	gauge("state_silent_seconds", "Time since the state service last answered it.", v.StateAgeS)
 	gauge("state_limits_fallen", "1 if the state service's limits to come are here.", yes(v.Lowered))
 	gauge("writes_left", "Changes that its budget has left at this moment.", v.WritesLeft)
+	gauge("reads_left", "Reads of the state service that its budget has left at this moment.", v.ReadsLeft)
 	gauge("format", "Version of stored data.", float64(v.Format))
 	gauge("unfinished_jobs", "Accepted jobs that are not over.", float64(v.Jobs))
 	gauge("awaiting_jobs", "Unfinished jobs that wait for others to be done.", float64(v.Awaiting))
--- a/internal/peer/recorded_test.go
+++ b/internal/peer/recorded_test.go
@@ -14,6 +14,7 @@
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/ledger"
 	"github.com/zinclb/zinclb/internal/core/reach"
+	"github.com/zinclb/zinclb/internal/core/replica"
 	"github.com/zinclb/zinclb/internal/core/upgrade"
 	"github.com/zinclb/zinclb/internal/core/vouch"
 )
@@ -63,10 +64,20 @@
 	}
 }
 
+// messagesShared are those by which followers ask the leader for what is stored, since
+// program 5.
+func messagesShared() map[string]any {
+	return map[string]any{
+		"AskArgs view": asked(core.ViewFor{After: 7, Need: 2}),
+		"Reply view": &core.Reply{Req: 1, Status: 200, View: &replica.View{Ledger: 9, Granted: 2,
+			Changes: []core.Change{{Key: "zinclb/job/a", Value: []byte("{}"), Stamp: 8}, {Key: "zinclb/job/b", Stamp: 9, Removed: true}}}},
+	}
+}
+
 // TestRecorded reads messages as earlier programs and this one wrote them: a field
 // that was renamed, or means something else, shows here.
 func TestRecorded(t *testing.T) {
-	for file, messages := range map[string]map[string]any{"version4": messages4(), "vouch": messagesVouch()} {
+	for file, messages := range map[string]map[string]any{"version4": messages4(), "vouch": messagesVouch(), "shared": messagesShared()} {
 		t.Run(file, func(t *testing.T) { recorded(t, "testdata/"+file+".json", messages) })
 	}
 }
