--- a/internal/core/rates/rates.go
+++ b/internal/core/rates/rates.go
@@ -80,12 +80,11 @@
 	}
 	others := float64(m.All - 1)
 	changes := l.Changes * (1 - leaderChanges)
-	// Each change may be a transaction of its own.
-	reads := max(l.Requests-leaseRequests*float64(m.All)-leaderWrites-changes, leastReads*l.Requests)
+	reads := readable(l, m, changes)
 	if !m.Led {
 		// Nobody uses the leader's part, and all see at once when somebody begins to.
 		even := 1 / float64(m.All)
-		s := Share{Reads: max(l.Requests-leaseRequests*float64(m.All)-l.Changes, leastReads*l.Requests) * even, Changes: l.Changes * even}
+		s := Share{Reads: readable(l, m, l.Changes) * even, Changes: l.Changes * even}
 		s.Views = min(views*l.Requests, s.Reads)
 		return s
 	}
@@ -99,6 +98,12 @@
 	return s
 }
 
+// readable is what is left for reads beside the leases, the leader's transactions, and
+// the changes of others, each of which may be a transaction of its own.
+func readable(l Limits, m Members, changes float64) float64 {
+	return max(l.Requests-leaseRequests*float64(m.All)-leaderWrites-changes, leastReads*l.Requests)
+}
+
 // part is a controller's of a pool that so many share when all are there.
 func part(pool, all float64, m Members) float64 {
 	own := pool / all / 2
@@ -113,7 +118,8 @@
 // Users come in bursts at one controller or another, and change far less than that on
 // average: each may use the whole of what the leader leaves.
 func alone(l Limits, m Members) Share {
-	s := Share{Views: views * l.Requests, Reads: l.Requests / float64(max(m.All, 1)), Changes: l.Changes * (1 - leaderChanges)}
+	s := Share{Views: views * l.Requests, Changes: l.Changes * (1 - leaderChanges)}
+	s.Reads = readable(l, m, s.Changes) / float64(max(m.All, 1))
 	if m.Leads {
 		s.Changes = l.Changes * leaderChanges
 	}
--- /dev/null
+++ b/internal/emulator/capacity/capacity_test.go
@@ -0,0 +1,108 @@
+package capacity
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/zinclb/zinclb/internal/emulator/scale"
+)
+
+// TestFit finds the slopes that the points were made of, and leaves out what does not
+// vary.
+func TestFit(t *testing.T) {
+	of := func(l Load) float64 { return 2 + 0.01*l.Workers + 0.5*l.Starts + 3*l.Controllers }
+	var points []Point
+	for _, workers := range []float64{400, 800, 1600} {
+		for _, starts := range []float64{10, 100} {
+			for _, controllers := range []float64{3, 12} {
+				l := Load{Workers: workers, Running: 100, Starts: starts * workers / 400, Teams: 380, Zones: 15, Controllers: controllers}
+				points = append(points, Point{l, of(l)})
+			}
+		}
+	}
+	m, err := Fit(points)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, want := range []float64{0.01, math.NaN(), 0.5, math.NaN(), math.NaN(), 3} {
+		if got := m.Slopes[k]; math.IsNaN(want) != math.IsNaN(got) || math.Abs(got-want) > 1e-9 {
+			t.Errorf("per %s: %v, want %v", factorNames[k], got, want)
+		}
+	}
+	if m.Residual > 1e-9 || m.R2 < 0.999 || math.Abs(m.At(PlanLoad)-of(PlanLoad)) > 1e-6 {
+		t.Errorf("%+v", m)
+	}
+	points[0].Value += 5
+	if m, _ := Fit(points); m.Residual < 1 {
+		t.Errorf("a point that is off by 5 leaves a residual of %v", m.Residual)
+	}
+	if _, err := Fit(points[:2]); err == nil {
+		t.Error("two points tell three slopes")
+	}
+	if l := FitLine([]Point{{Load{Workers: 1}, 3}, {Load{Workers: 3}, 7}}); l.At(10) != 21 {
+		t.Errorf("line %+v", l)
+	}
+}
+
+// TestRemake puts tables where the page asks for them, again and again the same.
+func TestRemake(t *testing.T) {
+	page := "a\n<!-- table x -->old<!-- end of table -->\nb\n"
+	once, err := Remake(page, map[string]string{"x": "| 1 |\n"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := "a\n<!-- table x -->\n| 1 |\n<!-- end of table -->\nb\n"; once != want {
+		t.Errorf("%q", once)
+	}
+	if again, err := Remake(once, map[string]string{"x": "| 1 |\n"}); err != nil || again != once {
+		t.Errorf("%q, %v", again, err)
+	}
+	for _, tc := range []struct {
+		page   string
+		tables map[string]string
+		want   string
+	}{
+		{page, nil, `no table "x"`},
+		{page, map[string]string{"x": "", "y": ""}, `does not show the table "y"`},
+		{"<!-- table x -->", map[string]string{"x": ""}, "has no end"},
+	} {
+		if _, err := Remake(tc.page, tc.tables); err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%q: %v, want %q", tc.page, err, tc.want)
+		}
+	}
+}
+
+// TestPage: the page says what the runs that are kept give.
+func TestPage(t *testing.T) {
+	changed, err := RemakeFile("../../../docs/CAPACITY.md", "../../../docs/capacity", true)
+	if err != nil || changed {
+		t.Errorf("run zinclb-emulator capacity: changed %v, %v", changed, err)
+	}
+}
+
+// TestLoadRuns leaves out runs that the machine limited, and says which prefix has
+// none.
+func TestLoadRuns(t *testing.T) {
+	dir := t.TempDir()
+	for name, f := range map[string]scale.Figures{"after-b": {Plan: scale.Plan{Workers: 800}}, "after-a": {Plan: scale.Plan{Workers: 400}}, "after-c": {Limited: "late"}} {
+		if err := f.Save(filepath.Join(dir, name+".json")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	runs, err := LoadRuns(dir, After)
+	if err != nil || len(runs) != 2 || runs[0].Name != "after-a" {
+		t.Errorf("%v, %v", runs, err)
+	}
+	if _, err := LoadRuns(dir, Before); err == nil || !strings.Contains(err.Error(), "before-*.json") {
+		t.Errorf("%v", err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "after-d.json"), []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := LoadRuns(dir, After); err == nil || !strings.Contains(err.Error(), "after-d.json") {
+		t.Errorf("%v", err)
+	}
+}
