--- a/internal/core/rates/rates.go
+++ b/internal/core/rates/rates.go
@@ -114,11 +114,16 @@
 	return own + pool/2/present
 }
 
+// manyOthers is for how many controllers beside the leader each may use the whole of
+// the changes that the leader leaves, while nothing is shared.
+const manyOthers = 4
+
 // alone is what a controller uses while nothing is shared: an even part of the reads.
 // Users come in bursts at one controller or another, and change far less than that on
-// average: each may use the whole of what the leader leaves.
+// average: each may use the whole of what the leader leaves, unless there are many.
 func alone(l Limits, m Members) Share {
-	s := Share{Views: views * l.Requests, Changes: l.Changes * (1 - leaderChanges)}
+	few := min(1, manyOthers/float64(max(m.All-1, 1)))
+	s := Share{Views: views * l.Requests, Changes: l.Changes * (1 - leaderChanges) * few}
 	s.Reads = readable(l, m, s.Changes) / float64(max(m.All, 1))
 	if m.Leads {
 		s.Changes = l.Changes * leaderChanges
