--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -18,9 +18,10 @@
 )
 
 // viewSource is the controller that is asked for what is stored, "" for the state
-// service itself.
+// service itself: for a leader, where nobody leads, and where the state service has
+// just failed this controller, which then has to find out whether it still does.
 func (c *Core) viewSource() string {
-	if c.lead != nil || !c.synced || c.leaderAt == 0 || c.stateLost() || !c.activation.Enabled(upgrade.SharedReads) || !c.links.PeerUp(c.leader.Name, c.now) {
+	if c.lead != nil || !c.synced || c.leaderAt == 0 || c.stateBad > c.stateOK || !c.activation.Enabled(upgrade.SharedReads) || !c.links.PeerUp(c.leader.Name, c.now) {
 		return ""
 	}
 	c.follower.Led(c.leader.Name, c.leader.Token)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -479,8 +479,8 @@
 	// transaction whose answer may be lost.
 	lacks := c.behind > c.applied || c.txns.Unanswered(c.now, newsGap)
 	switch {
-	case c.stateLost() && age > second/2:
-		// Requests are refused meanwhile, so something has to find out
+	case c.stateLost() && age > second/2, c.lead == nil && !c.stateLost() && c.stateBad > c.stateOK && age > newsGap && c.reading.Take():
+		// Requests are refused meanwhile, or soon, so something has to find out
 		// when the state service answers again.
 		c.beginView("")
 	case source != "" && (c.follower.Due(c.now, age) || lacks && age > newsGap || d.lackingChanges(c.budget.Level()) > 0):
