--- a/internal/emulator/scale/run.go
+++ b/internal/emulator/scale/run.go
@@ -8,6 +8,7 @@
 	"os"
 	"runtime"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/procfs"
@@ -82,7 +83,7 @@
 	pool   *workerproc.Pool
 	alone  map[string]bool
 	marks  map[string]mark
-	peak   float64 // the most memory that all processes held, in MB
+	peak   atomic.Int64 // the most memory that all processes held, in MB
 	// lost is when the leader's process was ended, 0 for never.
 	lost int64
 	late Latency
@@ -116,7 +117,7 @@
 }
 
 func (r *run) progress(p sockets.Progress) {
-	_, _ = fmt.Fprintf(r.Out, "%4.0f of %.0f s: %d jobs accepted, %d tasks started, %d done, %.0f MB\n", p.Now.Seconds(), p.Length.Seconds(), p.Accepted, p.Ran, p.Done, r.peak)
+	_, _ = fmt.Fprintf(r.Out, "%4.0f of %.0f s: %d jobs accepted, %d tasks started, %d done, %d MB\n", p.Now.Seconds(), p.Length.Seconds(), p.Accepted, p.Ran, p.Done, r.peak.Load())
 }
 
 // play runs the world to its end and works the figures out.
@@ -182,7 +183,7 @@
 		for _, u := range usages(r.fs, r.processes()) {
 			total += u.memory
 		}
-		r.peak = max(r.peak, total)
+		r.peak.Store(max(r.peak.Load(), int64(total)))
 		if total > r.limits.MemoryMB {
 			return fmt.Errorf("%w: %.0f MB of %.0f", ErrMemory, total, r.limits.MemoryMB)
 		}
@@ -263,7 +264,7 @@
 	terms := r.driver.Terms()
 	f := &Figures{Plan: r.Plan, Sources: r.Sources, Cores: runtime.NumCPU(), Windows: map[string]Window{}, Late: r.late,
 		Urgent: waits(events, terms, classUrgent, urgentWithin), Gangs: waits(events, terms, classGang, 30),
-		Submit: answers(events, history.Submit), Poll: answers(events, history.Poll), Events: len(events), PeakMemoryMB: r.peak}
+		Submit: answers(events, history.Submit), Poll: answers(events, history.Poll), Events: len(events), PeakMemoryMB: float64(r.peak.Load())}
 	if f.Late.P99 > mostLate {
 		f.Limited = fmt.Sprintf("the workers' or the emulator's timers ran %.0f ms late at the 99th percentile, and %d are allowed", f.Late.P99, mostLate)
 	}
