--- a/internal/emulator/fake/day_test.go
+++ b/internal/emulator/fake/day_test.go
@@ -252,6 +252,7 @@
 // TestArrays runs jobs of many chunks, up to the largest there may be, to their
 // end through a crash of all controllers, within the memory of a small one.
 func TestArrays(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name                  string
 		tasks, machines       int
@@ -264,6 +265,7 @@
 	}
 	for i, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
 			d := small(uint64(77 + i))
 			d.Params.Teams[0].GPUsMax = 0
 			d.up(tc.machines)
@@ -277,8 +279,8 @@
 				d.Faults = append(d.Faults, at(tc.limits, "state_limits", 0))
 			}
 			d.whole(t)
-			// The most that the heap has held: three controllers, the state
-			// service, all workers and the history at once.
+			// The most that the heap has held for all tests until now: of each day
+			// three controllers, the state service, all workers and the history.
 			var m runtime.MemStats
 			runtime.ReadMemStats(&m)
 			t.Logf("heap of %d MB at most", m.HeapSys>>20)
--- a/internal/emulator/fake/largest_test.go
+++ b/internal/emulator/fake/largest_test.go
@@ -14,8 +14,10 @@
 // within four minutes in a flood of small jobs of their priority that all take
 // five times as long as estimated, so that each seems to end in time.
 func TestLargestBegin(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []string{wire.Gang, wire.Array} {
 		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
 			d := small(71)
 			d.Params.Teams = []config.Team{{Name: "red"}, {Name: "blue"}}
 			d.up(4)
--- a/internal/emulator/fake/lose_test.go
+++ b/internal/emulator/fake/lose_test.go
@@ -23,6 +23,7 @@
 // executed, its answer alone, and with the write executed five seconds or a minute late. The
 // first, the second and the fifth of each kind are lost.
 func TestEveryWriteLost(t *testing.T) {
+	t.Parallel()
 	day := func() *day {
 		d := small(31)
 		d.Length = 300 * second
@@ -126,6 +127,7 @@
 // TestGather: on these days a gang waited to the end for machines that were
 // rented in zones at random and returned before there were enough in one.
 func TestGather(t *testing.T) {
+	t.Parallel()
 	d := mixed(t, 2, 20681)
 	for i, tc := range cases {
 		if tc.name == "the leader hears no worker" {
@@ -148,6 +150,7 @@
 // TestZoneOutage: a zone is cut off while gangs start, and no gang runs with only
 // part of its tasks. A planted gang of which one task is missing is caught.
 func TestZoneOutage(t *testing.T) {
+	t.Parallel()
 	d := small(8)
 	for i := range d.Jobs {
 		if s := &d.Jobs[i].Spec; s.Kind == "gang" {
--- a/internal/emulator/fake/onetask_test.go
+++ b/internal/emulator/fake/onetask_test.go
@@ -15,6 +15,7 @@
 // while. What a job costs in changes from its acceptance to its removal is bounded,
 // all are served at once, and at the end no key of theirs is left but the end.
 func TestOneTaskJobs(t *testing.T) {
+	t.Parallel()
 	d := small(12)
 	d.Jobs, d.Length = nil, 330*second
 	d.up(16)
--- a/internal/emulator/fake/sweep_test.go
+++ b/internal/emulator/fake/sweep_test.go
@@ -216,6 +216,7 @@
 // TestSweepLargest plays 10,000 runs under the tightest limits, through three
 // crashes: values of 2 KiB, four changes a transaction, 18 a second.
 func TestSweepLargest(t *testing.T) {
+	t.Parallel()
 	pairs, length := 5000, int64(4500)
 	if raceEnabled || testing.Short() {
 		pairs, length = 300, 700 // it is the same code, many times as slow
@@ -233,6 +234,7 @@
 // TestSweepBoundaries cancels a sweep, and ends all controllers, after each
 // change that has to do with it.
 func TestSweepBoundaries(t *testing.T) {
+	t.Parallel()
 	about := func(e history.Event) bool {
 		return e.Kind == history.Stored && strings.Contains(e.Key, "sweep") // its keys, and those of its runs
 	}
--- a/internal/emulator/fake/version1_test.go
+++ b/internal/emulator/fake/version1_test.go
@@ -69,6 +69,7 @@
 // this version: whatever is stored all day, the version without pipelines can
 // read, and a job that awaits others is put off.
 func TestBeforeFormat(t *testing.T) {
+	t.Parallel()
 	d := small(5)
 	d.missing = true
 	d.piped(2)
--- a/internal/emulator/fake/writes_test.go
+++ b/internal/emulator/fake/writes_test.go
@@ -47,6 +47,7 @@
 // harmless is on what each is conditional: so a write of a kind that is not in the
 // table, or without the conditions that the table has, fails.
 func TestWrites(t *testing.T) {
+	t.Parallel()
 	met := map[string]int{}
 	check := func(e core.Multi) {
 		on := map[string]uint64{}
--- a/internal/emulator/sockets/cut_test.go
+++ b/internal/emulator/sockets/cut_test.go
@@ -19,6 +19,7 @@
 // the state service alone, and then while it keeps the workers alone. Another
 // leads, however long that takes, and no rule is broken.
 func TestCutLeader(t *testing.T) {
+	t.Parallel()
 	dir, binary := built(t)
 	s, err := scenario.Load("../../../scenarios/quiet-day.txtpb", 6)
 	if err != nil {
--- a/internal/emulator/sockets/protocol_test.go
+++ b/internal/emulator/sockets/protocol_test.go
@@ -187,6 +187,7 @@
 // zone. What is judged is the history and nothing of time: no rule is broken and
 // no gang begins with only a part of its tasks.
 func TestZoneOutage(t *testing.T) {
+	t.Parallel()
 	dir, binary := built(t)
 	s, err := scenario.Load("../../../scenarios/quiet-day.txtpb", 5)
 	if err != nil {
