--- a/internal/emulator/fake/day_test.go
+++ b/internal/emulator/fake/day_test.go
@@ -134,13 +134,19 @@
 func (d *day) whole(t testing.TB) *Cluster {
 	t.Helper()
 	c := d.play(t, nil)
-	if l := breaches(c); len(l) > 0 {
-		t.Error(strings.Join(l, "\n"))
+	keeps(t, c)
+	return c
+}
+
+// keeps fails a day that broke a rule, or did not bring to its end what was accepted.
+func keeps(t testing.TB, c *Cluster) {
+	t.Helper()
+	for _, b := range breaches(c) {
+		t.Error(b)
 	}
 	if l := c.World.Unfinished(); len(l) > 0 {
 		t.Errorf("not over at the end: %v", l)
 	}
-	return c
 }
 
 func at(s int64, kind string, forS int64, hosts ...string) fault {
--- a/internal/emulator/fake/follow_test.go
+++ b/internal/emulator/fake/follow_test.go
@@ -31,6 +31,8 @@
 // following counts what the followers of a day have asked.
 type following struct {
 	asked, shown, failed int
+	// err is of the first fault that could not befall.
+	err error
 	// meet, if set, is called with each question, while troubles last.
 	meet func(c *Cluster, node, leader string)
 }
@@ -40,7 +42,6 @@
 func (d *day) playFollowing(t *testing.T, f *following, every int64, again func(c *Cluster, befall func(world.Fault), i int), programs func(node, epoch int) upgrade.Program) *Cluster {
 	t.Helper()
 	var cluster *Cluster
-	var failed error
 	o := Options{Operators: d.ops, Programs: programs,
 		Asks: func(node string, q core.AskView) {
 			f.asked++
@@ -57,14 +58,14 @@
 		},
 		Begin: func(c *Cluster) {
 			cluster = c
-			befall := func(x world.Fault) { c.BefallLater(&failed, x) }
+			befall := func(x world.Fault) { c.BefallLater(&f.err, x) }
 			for i := range int(150 * second / every) {
 				c.After(20*second+int64(i)*every, func() { again(c, befall, i) })
 			}
 		}}
 	c, err := Run(d.Config, o)
-	if err != nil || failed != nil {
-		t.Fatal(err, failed)
+	if err != nil || f.err != nil {
+		t.Fatal(err, f.err)
 	}
 	return c
 }
@@ -79,12 +80,11 @@
 	atQuestion := func(nth int, x world.Fault) func(f *following) {
 		return func(f *following) {
 			n := 0
-			var failed error
 			f.meet = func(c *Cluster, _, leader string) {
 				if n++; n%nth == 0 {
 					x.Hosts = []string{leader}
 					x.At = int64(n/nth%4) * 300
-					c.BefallLater(&failed, x)
+					c.BefallLater(&f.err, x)
 				}
 			}
 		}
@@ -146,12 +146,7 @@
 				}
 				d := followers(uint64(900+20*k+i), size)
 				c := d.playFollowing(t, f, x.every, x.again, nil)
-				for _, b := range breaches(c) {
-					t.Error(b)
-				}
-				if l := c.World.Unfinished(); len(l) > 0 {
-					t.Errorf("not over at the end: %v", l)
-				}
+				keeps(t, c)
 				if f.shown < 100 || x.fails && f.failed == 0 {
 					t.Errorf("%d questions, %d answers, %d without one", f.asked, f.shown, f.failed)
 				}
@@ -193,12 +188,7 @@
 				c := d.playFollowing(t, f, 6*second, func(_ *Cluster, befall func(world.Fault), i int) {
 					befall(world.Fault{Kind: "crash", Hosts: []string{world.NodeName(i % size)}})
 				}, tc.programs)
-				for _, b := range breaches(c) {
-					t.Error(b)
-				}
-				if l := c.World.Unfinished(); len(l) > 0 {
-					t.Errorf("not over at the end: %v", l)
-				}
+				keeps(t, c)
 				if tc.asks != (f.asked > 0) {
 					t.Errorf("%d questions", f.asked)
 				}
@@ -233,6 +223,7 @@
 			d := followers(uint64(990+i), 3)
 			var cluster *Cluster
 			led := int64(0)
+			var failed error
 			c, err := Run(d.Config, Options{Operators: d.ops,
 				Seen: func(e history.Event) {
 					if e.Kind == history.Stored && e.Key == core.LeaderKey && e.State == "put" {
@@ -243,14 +234,13 @@
 				Begin: func(c *Cluster) {
 					cluster = c
 					for i := range 8 {
-						var failed error
 						c.After(int64(25+18*i)*second, func() {
 							c.BefallLater(&failed, world.Fault{Kind: "crash", Hosts: c.LeaderFirst()[:1]})
 						})
 					}
 				}})
-			if err != nil {
-				t.Fatal(err)
+			if err != nil || failed != nil {
+				t.Fatal(err, failed)
 			}
 			if found := breaches(c); (len(found) > 0) != tc.want {
 				t.Errorf("found %v", found)
--- a/internal/emulator/fake/gap_test.go
+++ b/internal/emulator/fake/gap_test.go
@@ -47,12 +47,7 @@
 				t.Fatal(failed)
 			}
 		})
-		for _, b := range breaches(c) {
-			t.Error(b)
-		}
-		if l := c.World.Unfinished(); len(l) > 0 {
-			t.Errorf("not over at the end: %v", l)
-		}
+		keeps(t, c)
 		on := 0
 		for _, e := range c.History {
 			switch {
--- a/internal/emulator/fake/upgrade_test.go
+++ b/internal/emulator/fake/upgrade_test.go
@@ -138,12 +138,7 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					if l := breaches(c); len(l) > 0 {
-						t.Error(strings.Join(l, "\n"))
-					}
-					if l := c.World.Unfinished(); len(l) > 0 {
-						t.Errorf("not over at the end: %v", l)
-					}
+					keeps(t, c)
 					last := int64(60+12*(len(plan)-1)) * second
 					on := features(t, c, next)
 					if on[upgrade.Reach] == 0 {
