Emulator: a rule that no job's key is removed unless its end is stored

A controller that starts takes a job for one that was never accepted if neither its key nor its end is stored, and that showed only where a user asked it. The rule lost_end goes by the stored changes of each history, so it needs no question and no restart.

--- a/internal/emulator/environment/environment.go
+++ b/internal/emulator/environment/environment.go
@@ -251,6 +251,12 @@
 	usersHost = "users"
 )
 
+// The prefixes of the state service's keys under which controllers keep jobs and their ends.
+const (
+	jobKeyPrefix = "zinclb/job/"
+	endKeyPrefix = "zinclb/end/"
+)
+
 // ControllerName is a controller's.
 func ControllerName(i int) string { return fmt.Sprintf("node-%d", i) }
 
@@ -259,7 +265,13 @@
 
 // Expectations are what the rules are checked against.
 func (c *Config) Expectations() history.Expectations {
-	t := history.Expectations{Jobs: map[string]*wire.Job{}, Sweeps: map[string][]string{}, Teams: map[string]history.Limits{}, CancelWithin: config.MicrosOf(c.Params.Workers.CancelS)}
+	t := history.Expectations{
+		Jobs:         map[string]*wire.Job{},
+		Sweeps:       map[string][]string{},
+		Teams:        map[string]history.Limits{},
+		Stored:       history.StoredKeys{Jobs: jobKeyPrefix, Ends: endKeyPrefix},
+		CancelWithin: config.MicrosOf(c.Params.Workers.CancelS),
+	}
 	for i := range c.Jobs {
 		t.Jobs[c.Jobs[i].Spec.ID] = &c.Jobs[i].Spec
 	}
--- a/internal/emulator/environment/state_service.go
+++ b/internal/emulator/environment/state_service.go
@@ -280,9 +280,9 @@
 		s.compactedRevision = s.changes[len(s.changes)-retainedChanges-1].Stamp
 		s.changes = slices.Clone(s.changes[len(s.changes)-retainedChanges:])
 	}
-	state := "put"
+	state := history.KeyPut
 	if x.Remove != "" {
-		state = "removed"
+		state = history.KeyRemoved
 	}
 	s.env.record(history.Event{Kind: history.StateChanged, Key: key, Value: string(x.Value), State: state})
 }
--- a/internal/emulator/history/history.go
+++ b/internal/emulator/history/history.go
@@ -99,10 +99,23 @@
 	Teams  map[string]Limits
 	// Types of machines by name; without them jobs that wait are not checked.
 	Types map[string]wire.MachineType
+	// Stored says where controllers keep what no job may be without; the zero value checks
+	// nothing.
+	Stored StoredKeys
 	// CancelWithin is how long tasks of a cancelled job may stay, in microseconds.
 	CancelWithin int64
 }
 
+// StoredKeys are prefixes of the state service's keys: Jobs of the jobs that are not over, and
+// Ends of how the others ended. What follows them is the ID of a job.
+type StoredKeys struct{ Jobs, Ends string }
+
+// The states of StateChanged.
+const (
+	KeyPut     = "put"
+	KeyRemoved = "removed"
+)
+
 // SweepJob is the name under which requests about a sweep are recorded.
 func SweepJob(id string) string { return "sweep:" + id }
 
--- a/internal/emulator/history/history_test.go
+++ b/internal/emulator/history/history_test.go
@@ -84,7 +84,7 @@
 	const s = 1_000_000
 	b := "b"
 	terms := func() Expectations {
-		return Expectations{CancelWithin: 36 * s, Teams: map[string]Limits{"red": {GPUs: 12}}, Types: map[string]wire.MachineType{"big": {Name: "big", CPUs: 8, GPUs: 4, MemGB: 8}}, Jobs: map[string]*wire.Job{
+		return Expectations{Stored: StoredKeys{Jobs: "job/", Ends: "end/"}, CancelWithin: 36 * s, Teams: map[string]Limits{"red": {GPUs: 12}}, Types: map[string]wire.MachineType{"big": {Name: "big", CPUs: 8, GPUs: 4, MemGB: 8}}, Jobs: map[string]*wire.Job{
 			"j":     {ID: "j", Team: "red", Kind: wire.Array, Tasks: 2, GPUs: 1, Spot: true},
 			"g":     {ID: "g", Team: "red", Kind: wire.Gang, Tasks: 2, GPUs: 1, Spot: true},
 			"next":  {ID: "next", Team: "red", Kind: wire.Array, Tasks: 1, Spot: true, DependsOn: []string{"j"}},
@@ -120,11 +120,17 @@
 		l := ask(5*s, Submit, "odd", 201, wire.Pending)
 		return append([]Event{l[0], {At: 5 * s, Kind: InvalidSubmission, Job: "odd", Call: call, Reason: why}}, l[1:]...)
 	}
+	stored := func(at int64, key, state string) Event {
+		return Event{At: at, Kind: StateChanged, Key: key, State: state}
+	}
 	cases := []struct {
 		rule  string
 		tasks func(*wire.Job)
 		plant [][]Event
 	}{
+		{rule: LostEnd, plant: [][]Event{{stored(4*s, "job/j", KeyPut), stored(5*s, "job/j", KeyRemoved)}}},
+		{rule: LostEnd, plant: [][]Event{{stored(4*s, "end/g", KeyPut), stored(5*s, "job/j", KeyRemoved), stored(6*s, "end/j", KeyPut)}}},
+		{rule: LostEnd, plant: [][]Event{{stored(5*s, "job/j", KeyRemoved), stored(5*s, "end/g", KeyPut), stored(5*s, "job/g", KeyRemoved)}}},
 		{rule: "left_waiting", plant: [][]Event{wait("j", 92)}},
 		{rule: "left_waiting", plant: [][]Event{{on(TaskPlaced, 4*s, "g", 1, "m0"), on(RoomFreed, 4*s, "g", 1, "m0")}, wait("g", 92)}},
 		{rule: "left_waiting", tasks: func(j *wire.Job) { j.OneZone, j.CPUs = true, 8 }, plant: [][]Event{{on(TaskPlaced, 4*s, "j", 0, "m0")}, wait("j", 92)}},
@@ -190,6 +196,15 @@
 			}
 		})
 	}
+	t.Run("ends that are stored in time", func(t *testing.T) {
+		h := append(good[:len(good):len(good)],
+			stored(4*s, "end/g", KeyPut), stored(5*s, "job/g", KeyRemoved),
+			stored(6*s, "job/j", KeyRemoved), stored(6*s, "end/j", KeyPut), // of one transaction
+			stored(7*s, "job/next", KeyPut), stored(7*s, "log/1", KeyRemoved))
+		if found := CheckRules(h, terms()); len(found) != 0 {
+			t.Errorf("found %v", found)
+		}
+	})
 	for _, tc := range cases {
 		t.Run(tc.rule, func(t *testing.T) {
 			all := func(h []Event, terms Expectations) (l []string) {
--- a/internal/emulator/history/rules.go
+++ b/internal/emulator/history/rules.go
@@ -17,7 +17,7 @@
 
 // CheckRules says which of the rules a history breaks. Each breach is named once.
 func CheckRules(events []Event, terms Expectations) []Violation {
-	k := &checker{expected: terms, jobs: map[string]*jobState{}, machines: map[string]Event{}, taskMachines: map[taskRef]map[string]bool{}, teamUse: map[string]Limits{}, reported: map[string]bool{}, calls: map[uint64]userCall{}, placed: newPlacements()}
+	k := &checker{expected: terms, jobs: map[string]*jobState{}, machines: map[string]Event{}, taskMachines: map[taskRef]map[string]bool{}, teamUse: map[string]Limits{}, reported: map[string]bool{}, calls: map[uint64]userCall{}, placed: newPlacements(), ends: newEndChecker(terms.Stored)}
 	for i := range events {
 		if e := &events[i]; e.Kind == FaultChanged || e.Kind == ControllerChanged {
 			k.quietSince = e.At
@@ -28,6 +28,7 @@
 			k.checkGangStart()
 		}
 		k.checkDeadlines(events[i].At)
+		k.checkEndsStored(events[i].At)
 		k.checkWaiting(events[i].At)
 		k.onEvent(&events[i])
 	}
@@ -58,6 +59,7 @@
 	// begun or ended and the last controller was back.
 	answered, quietSince int64
 	placed               placements
+	ends                 endChecker
 }
 
 type taskRef struct {
@@ -142,6 +144,8 @@
 		k.placed.give(k.expected.Jobs[e.Job], taskRef{e.Job, e.Task}, e.Machine)
 	case RoomFreed:
 		k.placed.free(k.expected.Jobs[e.Job], taskRef{e.Job, e.Task}, e.Machine)
+	case StateChanged:
+		k.ends.onStateChanged(e)
 	case CostRecorded: // it is gone, or the day is over
 		delete(k.machines, e.Machine)
 	case TaskEntered:
@@ -373,4 +377,5 @@
 	if len(k.due) > 0 {
 		k.checkDeadlines(k.now + 1)
 	}
+	k.checkEndsStored(k.now + 1)
 }
