Core: a job's key goes only with an end that is known to be stored

Cause: that a job is cancelled was one flag beside its outcome, and what a peer tells of cancellations set the outcome without it. A leader that was told of a dependent job's end before it had derived it took the end for stored, removed the job's key and never wrote an end: knowledge at second hand taken for what is stored.

Change: jobstate.KnownEnd says whether an end is derived, told by a peer or stored at a revision.

--- a/internal/core/alerts.go
+++ b/internal/core/alerts.go
@@ -94,7 +94,7 @@
 func (o *operatorViewer) lateStages() []*jobstate.Job {
 	var late []*jobstate.Job
 	for _, j := range o.cache.jobs {
-		if j.Outcome != "" || j.IsBlocked() || j.EffectiveDeadline == 0 || !o.dependencies.isInPipeline(j) {
+		if j.Outcome() != "" || j.IsBlocked() || j.EffectiveDeadline == 0 || !o.dependencies.isInPipeline(j) {
 			continue
 		}
 		if o.now+o.remainingTime(j) > j.EffectiveDeadline {
--- a/internal/core/cancellation.go
+++ b/internal/core/cancellation.go
@@ -12,7 +12,7 @@
 // writeCancellation stores that a job is cancelled.
 func (h *requestHandler) writeCancellation(r *request) {
 	j := h.cache.jobs[r.targetID]
-	if j == nil || j.Outcome != "" {
+	if j == nil || j.Outcome() != "" {
 		h.waitForRead(r)
 		return
 	}
@@ -34,7 +34,7 @@
 			if j.Revision == revision {
 				j.Revision = result.Revision
 			}
-			h.cache.noteEnd(r.targetID, end, result.Revision)
+			h.cache.noteEnd(r.targetID, jobstate.EndStoredAt(end, result.Revision))
 			h.answerEnd(r.id, r.targetID, end)
 		case kv.Conflict:
 			h.retryCancellation(r)
--- a/internal/core/committer.go
+++ b/internal/core/committer.go
@@ -188,7 +188,7 @@
 // commitClass is 0 where a start or a user waits for a job's writes, and else 1.
 func commitClass(j *jobstate.Job) int {
 	// Of one that is over only keys are left to be removed.
-	if j.Outcome == "" && (j.NumDone == j.Tasks || j.HasAnyPlacementToWrite()) {
+	if j.Outcome() == "" && (j.NumDone == j.Tasks || j.HasAnyPlacementToWrite()) {
 		return 0
 	}
 	return 1
@@ -255,16 +255,13 @@
 func (c *committer) jobCommitted(written *jobWrite, revision uint64) {
 	j := written.job
 	if written.writesEnd {
-		if !written.removesJob {
+		if written.writesRecord {
 			j.Revision = revision
 		}
-		c.log.Info("job done", "job", j.ID, "tasks", j.Tasks)
-		c.cache.noteEnd(j.ID, written.end, revision)
-	}
-	if written.writesDerivedEnd {
-		// Not by any write: one of its progress may have been under way when
-		// its sweep was cancelled, and the job be removed without an end.
-		j.CancelledByDependency = false
+		if written.end.Outcome == jobstate.Done {
+			c.log.Info("job done", "job", j.ID, "tasks", j.Tasks)
+		}
+		c.cache.noteEnd(j.ID, jobstate.EndStoredAt(written.end, revision))
 	}
 	for _, chunk := range written.chunks {
 		if chunk.logged {
@@ -285,7 +282,7 @@
 
 // jobKeyRemoved forgets a job whose key was removed.
 func (c *committer) jobKeyRemoved(j *jobstate.Job) {
-	if j.Outcome == jobstate.Done && !j.Truncated {
+	if j.Outcome() == jobstate.Done && !j.Truncated {
 		c.prefetcher.addPrefetchSources(j.Spec) // none of its tasks is on a machine now
 	}
 	delete(c.cache.jobs, j.ID)
@@ -295,7 +292,7 @@
 
 // clearIfWritten takes a job off the list of dirty ones if nothing is left to write.
 func (c *committer) clearIfWritten(j *jobstate.Job) {
-	if j.Outcome != "" && j.NumPlaced == 0 || j.Outcome == "" && j.NumDone == j.Tasks || len(j.DirtyChunks()) > 0 {
+	if j.Outcome() != "" && j.NumPlaced == 0 || j.Outcome() == "" && j.NumDone == j.Tasks || len(j.DirtyChunks()) > 0 {
 		c.markDirty(j)
 		return
 	}
--- a/internal/core/conflicts.go
+++ b/internal/core/conflicts.go
@@ -67,8 +67,7 @@
 	if read.Revision == 0 || json.Unmarshal(read.Value, &end) != nil {
 		return
 	}
-	c.cache.noteEnd(id, end, read.Revision)
-	c.dependencies.endWasStored(id)
+	c.cache.noteEnd(id, jobstate.EndStoredAt(end, read.Revision))
 }
 
 // applyStoredJob takes over a job's record, or its removal.
--- a/internal/core/delivery.go
+++ b/internal/core/delivery.go
@@ -63,7 +63,7 @@
 	fleet.SortTaskRefs(refs)
 	for _, ref := range refs {
 		w.tasks.requestStop(ref.Job, ref.Index, jobstate.StopNotReceiving, 0)
-		if ref.Job.Kind == jobstate.Gang && ref.Job.Outcome == "" {
+		if ref.Job.Kind == jobstate.Gang && ref.Job.Outcome() == "" {
 			w.tasks.breakGang(ref.Job, false) // it would wait for this one in vain
 		}
 	}
--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -50,15 +50,15 @@
 	return len(j.Dependencies) > 0 || d.graph.HasDependents(j)
 }
 
-// knownEnd is the stored end of a job, as far as it is known here.
-func (d *dependencyResolver) knownEnd(id string) (jobstate.End, bool) {
-	if end, ok := d.cache.ends[id]; ok {
+// knownEnd is the end of a job, as far as it is known here.
+func (d *dependencyResolver) knownEnd(id string) (jobstate.KnownEnd, bool) {
+	if end, ok := d.cache.ends.Get(id); ok {
 		return end, true
 	}
-	if j := d.cache.jobs[id]; j != nil && j.Outcome != "" {
-		return jobstate.End{Outcome: j.Outcome, Tasks: j.Tasks}, true
+	if j := d.cache.jobs[id]; j != nil && j.Outcome() != "" {
+		return j.End(), true
 	}
-	return jobstate.End{}, false
+	return jobstate.KnownEnd{}, false
 }
 
 // addJob is called for each unfinished job that is new here.
@@ -103,25 +103,11 @@
 // all users see it at once, however many jobs there are, and the leader stores the ends
 // as its budget allows.
 func (d *dependencyResolver) deriveEnd(j *jobstate.Job) {
-	if j.Outcome != "" {
+	if j.Outcome() != "" {
 		return
 	}
 	d.graph.Remove(j)
-	j.CancelledByDependency = true
-	if _, ok := d.cache.ends[j.ID]; ok {
-		// Its end was known before the job.
-		j.Outcome = jobstate.Cancelled
-		d.tasks.jobEnded(j)
-		return
-	}
-	d.cache.noteEnd(j.ID, jobstate.End{Outcome: jobstate.Cancelled, Tasks: j.Tasks}, 0)
-}
-
-// endWasStored notes that a job's own end is in the state service.
-func (d *dependencyResolver) endWasStored(id string) {
-	if j := d.cache.jobs[id]; j != nil {
-		j.CancelledByDependency = false
-	}
+	d.cache.noteEnd(j.ID, jobstate.DerivedEnd(jobstate.End{Outcome: jobstate.Cancelled, Tasks: j.Tasks}))
 }
 
 // dependenciesKnown says whether a job is certainly not cancelled by an end that this
@@ -143,11 +129,11 @@
 	ids := d.graph.Unresolved(func(id string) bool {
 		j := d.cache.jobs[id]
 		_, read := d.endReads[id]
-		return j != nil && j.Outcome == "" || read
+		return j != nil && j.Outcome() == "" || read
 	}, max(0, maxEndReads-inFlight))
 	for _, id := range ids {
 		if end, ok := d.knownEnd(id); ok {
-			d.resolveDependents(id, end)
+			d.resolveDependents(id, end.End)
 			continue
 		}
 		d.readDependencyEnd(id)
@@ -182,7 +168,7 @@
 			d.log.Error("stored end can't be read", "job", id)
 		default:
 			delete(d.endReads, id)
-			d.cache.noteEnd(id, end, read.Revision)
+			d.cache.noteEnd(id, jobstate.EndStoredAt(end, read.Revision))
 			d.resolveDependents(id, end) // if the end was known, but not to the graph
 		}
 	})
@@ -196,7 +182,7 @@
 		var end jobstate.End
 		if read.Err == nil && read.Revision != 0 && json.Unmarshal(read.Value, &end) == nil {
 			delete(d.endReads, id)
-			d.cache.noteEnd(id, end, read.Revision)
+			d.cache.noteEnd(id, jobstate.EndStoredAt(end, read.Revision))
 		}
 	})
 }
@@ -217,7 +203,7 @@
 			}
 			continue
 		}
-		if _, ok := d.cache.ends[id]; !ok {
+		if _, ok := d.cache.ends.Get(id); !ok {
 			d.checkDependencyJob(r, id)
 			return
 		}
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -43,7 +43,7 @@
 func (t *taskManager) drainMachine(machine *fleet.Machine, notice int64) {
 	for _, ref := range machine.PlacedInOrder() {
 		job, task := ref.Job, ref.Job.Task(ref.Index)
-		if job.Outcome != "" || task == nil || task.Machine != machine.Name {
+		if job.Outcome() != "" || task == nil || task.Machine != machine.Name {
 			continue // it went with its gang, or goes anyway
 		}
 		if job.Checkpoint == 0 && notice > 0 && t.endsWithin(job, task, notice) {
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -331,7 +331,7 @@
 		e.leadership.planning.classSizes.note(job.Spec)
 		placements += e.restorePlacements(job)
 		switch {
-		case job.Outcome != "":
+		case job.Outcome() != "":
 			// It ended under an earlier leader, and its tasks may still be on
 			// their machines.
 			e.tasks.jobEnded(job)
--- a/internal/core/endlookup.go
+++ b/internal/core/endlookup.go
@@ -109,7 +109,7 @@
 				h.refuse(r)
 			}
 		default:
-			h.cache.noteEnd(id, end, read.Revision)
+			h.cache.noteEnd(id, jobstate.EndStoredAt(end, read.Revision))
 			for _, r := range requests {
 				h.answerEnd(r.id, id, end)
 			}
--- a/internal/core/jobstate/dependencies.go
+++ b/internal/core/jobstate/dependencies.go
@@ -20,9 +20,9 @@
 // Empty says that no job waits.
 func (g *DependencyGraph) Empty() bool { return len(g.dependents) == 0 }
 
-// Add enters a job. known tells of stored ends; last is the time of day of the
+// Add enters a job. known tells of ends; last is the time of day of the
 // last of them among the awaited, and cancelled that one of them is cancelled.
-func (g *DependencyGraph) Add(j *Job, known func(id string) (End, bool)) (last int64, cancelled bool) {
+func (g *DependencyGraph) Add(j *Job, known func(id string) (KnownEnd, bool)) (last int64, cancelled bool) {
 	for _, id := range j.Dependencies {
 		e, ok := known(id)
 		switch {
@@ -49,7 +49,7 @@
 	after := g.dependents[id]
 	delete(g.dependents, id)
 	for _, j := range after {
-		if j.Outcome != "" {
+		if j.Outcome() != "" {
 			continue
 		}
 		delete(j.UnmetDependencies, id)
@@ -104,7 +104,7 @@
 		j.visitedRound = g.round
 		for id := range j.UnmetDependencies {
 			n := find(id)
-			if n == nil || n.Outcome != "" {
+			if n == nil || n.Outcome() != "" {
 				return false
 			}
 			todo = append(todo, n)
@@ -135,7 +135,7 @@
 		}
 		more := false
 		for _, o := range g.dependents[j.ID] {
-			if o.Outcome == "" && o.visitedRound != g.round {
+			if o.Outcome() == "" && o.visitedRound != g.round {
 				todo, more = append(todo, o), true
 			}
 		}
@@ -149,7 +149,7 @@
 			j.EffectiveDeadline = j.SubmittedAt + j.Deadline
 		}
 		for _, o := range g.dependents[j.ID] {
-			if o.Outcome != "" {
+			if o.Outcome() != "" {
 				continue
 			}
 			j.EffectivePriority = max(j.EffectivePriority, o.EffectivePriority)
@@ -172,7 +172,7 @@
 	for {
 		var next *Job
 		for _, o := range g.dependents[j.ID] {
-			if o.Outcome == "" && o.EffectiveDeadline != 0 && (next == nil || o.EffectiveDeadline-o.Estimate < next.EffectiveDeadline-next.Estimate) {
+			if o.Outcome() == "" && o.EffectiveDeadline != 0 && (next == nil || o.EffectiveDeadline-o.Estimate < next.EffectiveDeadline-next.Estimate) {
 				next = o
 			}
 		}
--- a/internal/core/jobstate/dependencies_test.go
+++ b/internal/core/jobstate/dependencies_test.go
@@ -41,13 +41,13 @@
 			var list []*Job
 			for _, n := range tc.nodes {
 				j := NewJob(&Spec{ID: n.id, Tasks: 1, Priority: n.rank, Estimate: n.estimate, Deadline: n.deadline, Dependencies: n.awaits})
-				g.Add(j, func(string) (End, bool) { return End{}, false })
+				g.Add(j, func(string) (KnownEnd, bool) { return KnownEnd{}, false })
 				jobs[n.id], list = j, append(list, j)
 			}
 			var over []string
 			var end func(id, outcome string)
 			end = func(id, outcome string) {
-				jobs[id].Outcome = outcome
+				jobs[id].RecordEnd(EndStoredAt(End{Outcome: outcome}, 1))
 				g.Remove(jobs[id])
 				_, cancelled := g.RecordEnd(id, End{Outcome: outcome})
 				for _, j := range cancelled {
@@ -64,7 +64,7 @@
 			var free, ends []string
 			g.InheritPriorities(slices.Values(list), 1)
 			for _, j := range list {
-				if j.Outcome == "" && !j.IsBlocked() {
+				if j.Outcome() == "" && !j.IsBlocked() {
 					free = append(free, j.ID)
 				}
 				ends = append(ends, fmt.Sprintf("%s %d %d", j.ID, j.EffectiveDeadline, j.EffectivePriority))
@@ -97,7 +97,7 @@
 	}
 	for _, tc := range cases {
 		j := NewJob(&Spec{ID: "j", Tasks: 1, Dependencies: tc.awaits})
-		last, cancelled := NewDependencyGraph().Add(j, func(id string) (End, bool) { e, ok := known[id]; return e, ok })
+		last, cancelled := NewDependencyGraph().Add(j, func(id string) (KnownEnd, bool) { e, ok := known[id]; return EndStoredAt(e, 1), ok })
 		if j.IsBlocked() != tc.waits || last != tc.last || cancelled != tc.cancelled {
 			t.Errorf("%v: waits %v, last %d, cancelled %v", tc.awaits, j.IsBlocked(), last, cancelled)
 		}
--- a/internal/core/jobstate/job.go
+++ b/internal/core/jobstate/job.go
@@ -80,8 +80,9 @@
 	*Spec
 	Revision uint64
 	Arrival  uint64
-	Outcome  string
 	tasks    []Task
+	// end is how the job has ended, the zero value while it is unfinished.
+	end KnownEnd
 	// unplaced are the tasks that are neither done nor placed, placed those that
 	// are placed: a planning round must not walk 100,000 tasks to find a few.
 	unplaced, placed *roaring.Bitmap
@@ -106,9 +107,6 @@
 	ReadyAt int64
 	// UnmetDependencies are the awaited jobs that are not known to be done.
 	UnmetDependencies map[string]struct{}
-	// CancelledByDependency: the job is over because one that it needs is cancelled, and its
-	// own end is not stored yet.
-	CancelledByDependency bool
 	// Truncated: the specification is what is left of an ended job's.
 	Truncated bool
 	// EffectivePriority is the priority that the job is treated as having, and
@@ -143,6 +141,22 @@
 	return j
 }
 
+// Outcome is how the job has ended, "" while it is unfinished.
+func (j *Job) Outcome() string { return j.end.Outcome }
+
+// End is how the job has ended, with an outcome of "" while it is unfinished.
+func (j *Job) End() KnownEnd { return j.end }
+
+// RecordEnd notes how the job has ended, and says whether it was unfinished until now.
+func (j *Job) RecordEnd(end KnownEnd) (hasJustEnded bool) {
+	if j.Outcome() == "" {
+		j.end = end
+		return true
+	}
+	j.end = j.end.better(end)
+	return false
+}
+
 // IsBlocked says that the job waits for others to be done.
 func (j *Job) IsBlocked() bool { return len(j.UnmetDependencies) > 0 }
 
@@ -156,7 +170,7 @@
 
 // IsPartiallyPlaced says that some tasks of a gang's attempt are gone and others not.
 func (j *Job) IsPartiallyPlaced() bool {
-	return j.Kind == Gang && j.Outcome == "" && j.NumPlaced > 0 && j.Unplaced() > 0
+	return j.Kind == Gang && j.Outcome() == "" && j.NumPlaced > 0 && j.Unplaced() > 0
 }
 
 // NumChunks is the number of chunks.
--- a/internal/core/jobstate/stop.go
+++ b/internal/core/jobstate/stop.go
@@ -26,4 +26,4 @@
 func (t *Task) IsStopping() bool { return t.StopReason != "" }
 
 // OutcomeStopReason is why attempts of a job that is over are stopped.
-func (j *Job) OutcomeStopReason() StopReason { return StopReason(j.Outcome) }
+func (j *Job) OutcomeStopReason() StopReason { return StopReason(j.Outcome()) }
--- a/internal/core/jobstatus.go
+++ b/internal/core/jobstatus.go
@@ -9,8 +9,8 @@
 // requestJob receives a query or a cancellation. An end never changes, so one that is
 // known is answered without a read.
 func (h *requestHandler) requestJob(requestID uint64, jobID string, kind requestKind, forwarded bool) {
-	if end, ok := h.cache.ends[jobID]; ok {
-		h.answerEnd(requestID, jobID, end)
+	if end, ok := h.cache.ends.Get(jobID); ok {
+		h.answerEnd(requestID, jobID, end.End)
 		return
 	}
 	h.waitForRead(&request{id: requestID, kind: kind, targetID: jobID, receivedAt: h.now, forwarded: forwarded})
--- a/internal/core/leadertransaction.go
+++ b/internal/core/leadertransaction.go
@@ -45,13 +45,14 @@
 
 // jobWrite is one job's part of a transaction.
 type jobWrite struct {
-	job              *jobstate.Job
-	chunks           []chunkWrite
-	writesEnd        bool // writes the end
-	writesDerivedEnd bool // writes the end of one that is over by another's
-	end              jobstate.End
-	removesJob       bool // deletes the job's key
-	removedChunks    []jobstate.ChunkRef
+	job           *jobstate.Job
+	chunks        []chunkWrite
+	writesEnd     bool // writes the end
+	end           jobstate.End
+	writesRecord  bool     // writes the job's key
+	removesJob    bool     // deletes the job's key
+	proof         endProof // why the keys may go
+	removedChunks []jobstate.ChunkRef
 }
 
 func (w *jobWrite) isEmpty() bool {
@@ -113,11 +114,11 @@
 func (t *leaderTransaction) addJob(j *jobstate.Job) {
 	written := jobWrite{job: j}
 	switch {
-	case j.Outcome == "" && j.NumDone == j.Tasks:
+	case j.Outcome() == "" && j.NumDone == j.Tasks:
 		t.addDoneJob(&written)
-	case j.Outcome != "" && j.NumPlaced == 0:
+	case j.Outcome() != "" && j.NumPlaced == 0:
 		t.addEndedJob(&written)
-	case j.Outcome != "":
+	case j.Outcome() != "":
 		// Nothing of it will be started again, so its exits need not
 		// be stored one by one.
 	default:
@@ -136,39 +137,53 @@
 	}
 	j := written.job
 	t.requireOpenSweep(j)
-	written.writesEnd = true
-	written.end = t.addEnd(j, jobstate.Done)
+	proof := t.addEnd(written, jobstate.Done)
 	chunks, _ := j.StoredChunks()
 	if j.NumPlaced == 0 && (t.committer.membership.logEnabled() || len(chunks)+1 <= t.room()) {
-		t.addRemoval(written)
+		t.addRemoval(written, proof)
 		return
 	}
+	written.writesRecord = true
 	record := t.committer.requests.endedRecord(j, jobstate.Done)
 	t.add(Write{Key: jobPrefix + j.ID, Value: record}, j.Revision)
 }
 
-// addEndedJob removes the keys of a job that is over, and adds its end where that follows
-// from another's.
+// addEndedJob removes the keys of a job that is over, and adds its end where that is not known
+// to be stored.
 func (t *leaderTransaction) addEndedJob(written *jobWrite) {
 	j := written.job
-	if j.CancelledByDependency {
+	proof, isStored := storedEndOf(j)
+	if !isStored {
 		if t.room() < 2 {
 			return
 		}
-		t.addEnd(j, j.Outcome)
-		written.writesDerivedEnd = true
+		// A leader that took what a peer told it for what is stored removed jobs without an
+		// end: every controller that started later took them for never accepted.
+		proof = t.addEnd(written, j.Outcome())
 	}
 	if t.room() < 1 {
 		return
 	}
-	t.addRemoval(written)
+	t.addRemoval(written, proof)
+}
+
+// endProof is why a job's keys may go: its end is stored at a revision, or, with 0, is written
+// by the same transaction. storedEndOf and addEnd give it.
+type endProof struct{ revision uint64 }
+
+// storedEndOf proves that a job's end is stored, if that is known.
+func storedEndOf(j *jobstate.Job) (proof endProof, isStored bool) {
+	end := j.End()
+	return endProof{end.Revision()}, end.IsStored()
 }
 
 // addEnd adds a job's end, as the first that is stored.
-func (t *leaderTransaction) addEnd(j *jobstate.Job, outcome string) jobstate.End {
-	end := t.committer.requests.newEnd(outcome, j)
-	t.add(Write{Key: endPrefix + j.ID, Value: encodeJSON(end)}, 0)
-	return end
+func (t *leaderTransaction) addEnd(written *jobWrite, outcome string) endProof {
+	j := written.job
+	written.writesEnd = true
+	written.end = t.committer.requests.newEnd(outcome, j)
+	t.add(Write{Key: endPrefix + j.ID, Value: encodeJSON(written.end)}, 0)
+	return endProof{}
 }
 
 // requireOpenSweep makes the transaction conditional on a run's sweep not being
@@ -185,8 +200,9 @@
 //
 // In the second format the job's own key goes at once, and the others when there
 // is room: values without their job mean nothing.
-func (t *leaderTransaction) addRemoval(written *jobWrite) {
+func (t *leaderTransaction) addRemoval(written *jobWrite, proof endProof) {
 	j := written.job
+	written.proof = proof
 	if t.committer.membership.logEnabled() {
 		written.removesJob = true
 		t.add(Write{Key: jobPrefix + j.ID}, j.Revision)
--- a/internal/core/operatorviewer.go
+++ b/internal/core/operatorviewer.go
@@ -73,7 +73,7 @@
 
 func (o *operatorViewer) viewJobs(v *OperatorView) {
 	for _, j := range o.cache.jobs {
-		if j.Outcome == "" && j.IsBlocked() {
+		if j.Outcome() == "" && j.IsBlocked() {
 			v.Awaiting++
 		}
 	}
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -204,7 +204,7 @@
 func (p *planner) activeClaims() []sched.Claim {
 	planning := &p.elector.leadership.planning
 	planning.claims = slices.DeleteFunc(planning.claims, func(c claim) bool {
-		return p.now > c.until || c.Job.Outcome != "" || c.Job.Unplaced() == 0
+		return p.now > c.until || c.Job.Outcome() != "" || c.Job.Unplaced() == 0
 	})
 	active := make([]sched.Claim, len(planning.claims))
 	for i := range planning.claims {
--- a/internal/core/proof_test.go
+++ b/internal/core/proof_test.go
@@ -274,7 +274,7 @@
 		t.Error("a peer without read leases proved the authority")
 	}
 	r.step(PeerPinged{Peer: "n1", SentAt: r.now + 1, OK: true, Status: PeerStatus{FencingToken: r.token, Leader: "n0", ReadLease: &readlease.CancellationPage{Incarnation: "x", UpTo: 1, Complete: true, Cancelled: []string{"j"}}}})
-	if r.c.cache.jobs["j"].Outcome != jobstate.Cancelled {
+	if r.c.cache.jobs["j"].Outcome() != jobstate.Cancelled {
 		t.Error("a peer's cancellation was not noted")
 	}
 	if r.c.elector.leadership.authorityProvenAt() != r.now+1 {
--- a/internal/core/queues.go
+++ b/internal/core/queues.go
@@ -57,7 +57,7 @@
 func (p *planner) unfinished() []*jobstate.Job {
 	var jobs []*jobstate.Job
 	for _, job := range p.cache.jobs {
-		if job.Outcome == "" && !job.IsBlocked() && p.sweepManager.mayStart(job) {
+		if job.Outcome() == "" && !job.IsBlocked() && p.sweepManager.mayStart(job) {
 			jobs = append(jobs, job)
 		}
 	}
@@ -189,7 +189,7 @@
 func (p *planner) spotPreferred() map[string]bool {
 	wantedAt := p.elector.leadership.planning.onDemandWantedAt
 	for _, job := range p.cache.jobs {
-		if job.Spot || job.Outcome != "" || job.IsBlocked() {
+		if job.Spot || job.Outcome() != "" || job.IsBlocked() {
 			continue
 		}
 		for i := range p.cache.machineTypes {
--- a/internal/core/readlease.go
+++ b/internal/core/readlease.go
@@ -136,7 +136,8 @@
 		if job := r.cache.jobs[id]; job != nil {
 			end.Tasks = job.Tasks
 		}
-		r.cache.noteEnd(id, end, 0)
+		// The peer may have derived the end: it need not be stored.
+		r.cache.noteEnd(id, jobstate.ToldEnd(end))
 	}
 }
 
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -93,14 +93,14 @@
 	if task == nil {
 		return true
 	}
-	if job.Outcome == "" && listed.status.Reason == ExitDone {
+	if job.Outcome() == "" && listed.status.Reason == ExitDone {
 		w.tasks.taskDone(job, listed.index)
 	}
 	if listed.isPlaced {
 		task.Confirmed = true
 		w.tasks.taskExited(machine, job, listed.index, listed.status)
 	}
-	return job.Outcome != "" || job.IsTaskStored(listed.index)
+	return job.Outcome() != "" || job.IsTaskStored(listed.index)
 }
 
 // reconcilePlaced takes over the state of a placed attempt, and requests its stop where its
@@ -112,7 +112,7 @@
 	if job.IsPartiallyPlaced() && !task.IsStopping() && !w.mayFinishFetch(machine, job, task) {
 		w.tasks.requestStop(job, listed.index, jobstate.StopGang, 0)
 	}
-	if job.Outcome != "" && !task.IsStopping() {
+	if job.Outcome() != "" && !task.IsStopping() {
 		task.StopReason, task.StopRequestedAt = job.OutcomeStopReason(), w.now
 	}
 }
@@ -211,7 +211,7 @@
 			// The start was lost, or never sent: had the worker received it, this
 			// later heartbeat would list the task.
 			missing.neverStarted = append(missing.neverStarted, ref)
-		case !task.IsStopping() && job.Outcome == "" && task.Stored && w.elector.mayStartTasks():
+		case !task.IsStopping() && job.Outcome() == "" && task.Stored && w.elector.mayStartTasks():
 			missing.toStart = append(missing.toStart, ref)
 		}
 	}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -269,8 +269,8 @@
 }
 
 func (h *requestHandler) resumeJobRequest(r *request) {
-	if end, ok := h.cache.ends[r.targetID]; ok {
-		h.answerEnd(r.id, r.targetID, end)
+	if end, ok := h.cache.ends.Get(r.targetID); ok {
+		h.answerEnd(r.id, r.targetID, end.End)
 		return
 	}
 	j := h.cache.jobs[r.targetID]
@@ -279,8 +279,8 @@
 		h.queueWrite(r)
 	case j == nil:
 		h.lookUpEnd(r)
-	case j.Outcome != "":
-		h.answerEnd(r.id, r.targetID, jobstate.End{Outcome: j.Outcome, Tasks: j.Tasks})
+	case j.Outcome() != "":
+		h.answerEnd(r.id, r.targetID, j.End().End)
 	case r.kind == requestCancel:
 		h.queueWrite(r)
 	case !h.dependencies.dependenciesKnown(j):
--- a/internal/core/runestimate.go
+++ b/internal/core/runestimate.go
@@ -30,7 +30,7 @@
 func (p *planner) plannedRun(m *fleet.Machine, ref fleet.TaskRef, guaranteed bool) sched.RunningTask {
 	job, task := ref.Job, ref.Job.Task(ref.Index)
 	run := sched.RunningTask{Job: job, Index: ref.Index, Guaranteed: guaranteed}
-	if job.Outcome != "" || task.IsStopping() {
+	if job.Outcome() != "" || task.IsStopping() {
 		run.End = max(task.StopRequestedAt+task.Grace+p.heartbeatInterval(), p.now+second)
 		return run
 	}
--- a/internal/core/statecache.go
+++ b/internal/core/statecache.go
@@ -60,9 +60,8 @@
 	progressLog    []*logPage
 	orphanedChunks map[string]map[jobstate.ChunkRef]Change
 
-	// ends are how jobs ended that are not long over, endOrder their IDs, the oldest first.
-	ends     map[string]jobstate.End
-	endOrder []string
+	// ends are how jobs ended that are not long over.
+	ends *jobstate.KnownEnds
 
 	// machineTypes are stored at typesRevision, or later in parts;
 	// typesWholeRevision is that at which all were in one value.
@@ -90,7 +89,7 @@
 		engine:         run,
 		jobs:           map[string]*jobstate.Job{},
 		orphanedChunks: map[string]map[jobstate.ChunkRef]Change{},
-		ends:           map[string]jobstate.End{},
+		ends:           jobstate.NewKnownEnds(maxEnds),
 		keyRevisions:   map[string]uint64{},
 		imageHints:     map[string][]byte{},
 		imageHistory:   newImageHistory(),
@@ -360,8 +359,7 @@
 		reject(err)
 		return
 	}
-	s.noteEnd(id, end, change.Revision)
-	s.dependencies.endWasStored(id)
+	s.noteEnd(id, jobstate.EndStoredAt(end, change.Revision))
 }
 
 // applyJob takes over a job's record, or its removal.
@@ -390,12 +388,13 @@
 	if record.Outcome == "" {
 		return
 	}
-	if j.Outcome == "" {
-		j.Outcome = record.Outcome
-		s.noteEnd(id, jobstate.End{Outcome: record.Outcome, Tasks: j.Tasks}, change.Revision)
+	// A record has an outcome from the transaction on that stores the end.
+	end := jobstate.EndStoredAt(jobstate.End{Outcome: record.Outcome, Tasks: j.Tasks}, change.Revision)
+	hasJustEnded := j.RecordEnd(end)
+	s.noteEnd(id, end)
+	if hasJustEnded {
 		s.tasks.jobEnded(j)
 	}
-	j.CancelledByDependency = false
 }
 
 // isValidRecord says whether a job can be made of a record.
@@ -416,9 +415,9 @@
 	s.jobs[id] = j
 	s.loadOrphanedChunks(j, reject)
 	s.reapply(j)
-	if end, ended := s.ends[id]; ended && record.Outcome == "" {
-		// Derived before the list was read anew, perhaps.
-		j.Outcome, j.CancelledByDependency = end.Outcome, true
+	if end, ended := s.ends.Get(id); ended && record.Outcome == "" {
+		// Derived before the list was read anew, perhaps, or told by a peer.
+		j.RecordEnd(end)
 		s.tasks.jobEnded(j)
 	} else if record.Outcome == "" {
 		s.dependencies.addJob(j)
@@ -492,34 +491,21 @@
 	s.orphanedChunks[id][ref] = stored
 }
 
-// noteEnd notes how a job has ended, stored with a revision, or 0 if that is not
-// known. Whatever users are told of an end has passed here, so it is here that
-// this controller records a cancellation for its read leases.
-func (s *stateCache) noteEnd(id string, end jobstate.End, revision uint64) {
+// noteEnd notes how a job has ended. Whatever users are told of an end has passed here, so it
+// is here that this controller records a cancellation for its read leases.
+func (s *stateCache) noteEnd(id string, end jobstate.KnownEnd) {
 	if end.Outcome == jobstate.Cancelled && !s.readLeases.cancelledWithSweep(id) {
-		s.readLeases.recordCancellation(id, revision)
+		s.readLeases.recordCancellation(id, end.Revision())
 	}
-	if _, known := s.ends[id]; known {
-		return
-	}
-	s.rememberEnd(id, end)
-	if j := s.jobs[id]; j != nil && j.Outcome == "" {
-		j.Outcome = end.Outcome
-		if end.Outcome == jobstate.Done {
+	known, isNew := s.ends.Record(id, end)
+	if j := s.jobs[id]; j != nil && j.RecordEnd(known) {
+		if known.Outcome == jobstate.Done {
 			s.imageHistory.finished(j)
 		}
 		s.tasks.jobEnded(j)
 	}
-	s.dependencies.resolveDependents(id, end)
-}
-
-// rememberEnd keeps an end, and forgets the oldest if there are too many.
-func (s *stateCache) rememberEnd(id string, end jobstate.End) {
-	s.ends[id] = end
-	s.endOrder = append(s.endOrder, id)
-	if len(s.endOrder) > maxEnds {
-		delete(s.ends, s.endOrder[0])
-		s.endOrder = s.endOrder[1:]
+	if isNew {
+		s.dependencies.resolveDependents(id, known.End)
 	}
 }
 
--- a/internal/core/stored_test.go
+++ b/internal/core/stored_test.go
@@ -277,9 +277,11 @@
 	if logged.Len() > 0 || !c.cache.synced {
 		t.Fatalf("read: %v, errors: %s", c.cache.synced, logged.String())
 	}
+	done, _ := c.cache.ends.Get("e-done")
+	ended, _ := c.cache.ends.Get("e-ended")
 	for key, got := range map[string]any{
 		LeaderKey: c.cache.leader, tokenKey: c.cache.token, partitionsKey: c.cache.partitions, formatKey: c.membership.format,
-		endPrefix + "e-done": c.cache.ends["e-done"], endPrefix + "e-ended": c.cache.ends["e-ended"], sweepPrefix + "s": c.sweepManager.sweeps["s"].head,
+		endPrefix + "e-done": done, endPrefix + "e-ended": ended, sweepPrefix + "s": c.sweepManager.sweeps["s"].head,
 		memberPrefix + "n1": c.membership.activation.Advertisements()["n1"], memberPrefix + "n2": c.membership.activation.Advertisements()["n2"], hintsKey + "/0": json.RawMessage(c.cache.imageHints[hintsKey+"/0"]),
 	} {
 		if !bytes.Equal(raws[key], encodeJSON(got)) {
@@ -291,11 +293,11 @@
 	}
 	for id, over := range map[string]string{"j-least": "", "j-full": "", "j-done": jobstate.Done, "j-ended": jobstate.Cancelled, "j-brief": jobstate.Cancelled} {
 		j := c.cache.jobs[id]
-		if j == nil || j.Outcome != over || j.Truncated != (id == "j-brief") {
+		if j == nil || j.Outcome() != over || j.Truncated != (id == "j-brief") {
 			t.Errorf("%s: known as %+v", id, j)
 			continue
 		}
-		again := jobstate.Record{Spec: j.Spec, Arrival: j.Arrival, Outcome: j.Outcome, SubmittedWall: j.SubmittedWall, Truncated: j.Truncated}
+		again := jobstate.Record{Spec: j.Spec, Arrival: j.Arrival, Outcome: j.Outcome(), SubmittedWall: j.SubmittedWall, Truncated: j.Truncated}
 		if id == "j-least" {
 			again.Arrival = 0 // it is the value's revision where it isn't stored
 		}
--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -20,8 +20,8 @@
 
 func (h *requestHandler) onSubmit(m SubmitJob) {
 	id := m.Spec.ID
-	if end, ok := h.cache.ends[id]; ok {
-		h.answerEnd(m.RequestID, id, end)
+	if end, ok := h.cache.ends.Get(id); ok {
+		h.answerEnd(m.RequestID, id, end.End)
 		return
 	}
 	r := &request{
--- a/internal/core/sweepadvance.go
+++ b/internal/core/sweepadvance.go
@@ -62,10 +62,10 @@
 		j := m.cache.jobs[id]
 		end, ended := m.dependencies.knownEnd(id)
 		switch {
-		case ended && (j == nil || !j.CancelledByDependency):
+		case ended && end.IsStored():
 			s.countRun(i, end.Outcome, m.now)
 			continue
-		case !ended && j == nil && reads < maxEndReads && m.dependencies.mayReadRunEnd(id):
+		case j == nil && reads < maxEndReads && m.dependencies.mayReadRunEnd(id):
 			reads++
 			m.dependencies.readRunEnd(id)
 		}
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -178,7 +178,7 @@
 	m.mayHaveOpenRuns = false
 	for _, id := range sortedKeys(m.cache.jobs) {
 		j := m.cache.jobs[id]
-		if j.Sweep != "" && j.Outcome == "" && m.isCancelled(j.Sweep) {
+		if j.Sweep != "" && j.Outcome() == "" && m.isCancelled(j.Sweep) {
 			m.dependencies.deriveEnd(j)
 		}
 	}
@@ -197,7 +197,7 @@
 		return
 	}
 	for _, j := range m.cache.jobs {
-		if j.Sweep == id && j.Outcome == "" {
+		if j.Sweep == id && j.Outcome() == "" {
 			m.tasks.cancel(j, jobstate.StopSweep)
 		}
 	}
--- a/internal/core/sweeps_test.go
+++ b/internal/core/sweeps_test.go
@@ -174,7 +174,7 @@
 	cache := h.core.cache
 	run := cache.jobs[runID(1)]
 	h.step(PeerPinged{Peer: "n1", SentAt: h.now, OK: true, Status: PeerStatus{Cancelled: []string{cancelledSweepPrefix + sweepID}}})
-	if run == nil || run.Outcome != "" || cache.ends[runID(1)].Outcome != "" {
+	if _, isOver := cache.ends.Get(runID(1)); run == nil || run.Outcome() != "" || isOver {
 		t.Fatal("a run is called cancelled although its end may be stored as done")
 	}
 	if h.core.sweepManager.mayStart(run) {
@@ -184,9 +184,10 @@
 	h.store(endPrefix+runID(0), jobstate.End{Outcome: jobstate.Done, Tasks: 1})
 	h.store(sweepEndPrefix+sweepID, sweepEndRecord{Outcome: jobstate.Cancelled})
 	h.refresh()
-	first, last := cache.ends[runID(0)].Outcome, cache.ends[runID(1)].Outcome
-	if first != jobstate.Done || last != jobstate.Cancelled {
-		t.Errorf("the runs are %q and %q", first, last)
+	first, _ := cache.ends.Get(runID(0))
+	last, _ := cache.ends.Get(runID(1))
+	if first.Outcome != jobstate.Done || last.Outcome != jobstate.Cancelled {
+		t.Errorf("the runs are %q and %q", first.Outcome, last.Outcome)
 	}
 }
 
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -152,7 +152,7 @@
 func (t *taskManager) taskLost(job *jobstate.Job, index int) {
 	t.log.Debug("task lost", "job", job.ID, "task", index, "machine", job.Task(index).Machine)
 	t.clearPlacement(job, index)
-	if job.Kind == jobstate.Gang && job.Outcome == "" {
+	if job.Kind == jobstate.Gang && job.Outcome() == "" {
 		t.breakGang(job, false)
 	}
 }
@@ -194,7 +194,7 @@
 	case ExitNoRoom, ExitBusy, ExitUnknownTask:
 		job.NotBefore = t.now + notStartedBackoff
 	}
-	if job.Kind == jobstate.Gang && job.Outcome == "" {
+	if job.Kind == jobstate.Gang && job.Outcome() == "" {
 		t.breakGang(job, status.Reason == ExitGangIncomplete)
 	}
 }
--- a/internal/core/trials.go
+++ b/internal/core/trials.go
@@ -41,7 +41,7 @@
 func (p *planner) jobsOnTrial() []*jobstate.Job {
 	var jobs []*jobstate.Job
 	for _, job := range p.cache.jobs {
-		if job.NumPlaced > 0 && !job.TrialDone && job.Outcome == "" && job.Checkpoint > 0 {
+		if job.NumPlaced > 0 && !job.TrialDone && job.Outcome() == "" && job.Checkpoint > 0 {
 			jobs = append(jobs, job)
 		}
 	}
--- a/internal/core/unreachable.go
+++ b/internal/core/unreachable.go
@@ -52,7 +52,7 @@
 // whoever leads by now. One that only makes room, or is to go elsewhere, goes on on a
 // silent machine: no heartbeat would show that the room is there.
 func isUnwanted(job *jobstate.Job, task *jobstate.Task) bool {
-	return job.Outcome != "" || task.StopReason == jobstate.StopSweep
+	return job.Outcome() != "" || task.StopReason == jobstate.StopSweep
 }
 
 // mayDeliverStop says whether a task is to be stopped, and this controller may command it.
--- a/internal/core/version1_test.go
+++ b/internal/core/version1_test.go
@@ -70,7 +70,7 @@
 			}
 		}
 	}
-	for id, e := range c.cache.ends {
+	for id, e := range c.cache.ends.All() {
 		same(endPrefix+id, encodeJSON(e))
 	}
 	same(LeaderKey, encodeJSON(c.cache.leader))
