Core: logs and metrics say how ends are known and why a job is called unknown

The records of a lost end could not tell who took it for stored. At level info, at most five lines of a kind a second: a term's mirror, its age and the ends it lacks; ends derived or told, and from whom; reads of dependencies' ends without one; cancelled jobs removed, with the end's revision; 404 answers with the revisions of the mirror and the look-up. Counters of the same and the gauge zinclb_unstored_ends in GET /ops/metrics. Recorded forms of the operators' view and the metrics gain these fields; a read of an absent key says at which revision.

--- a/internal/core/committer.go
+++ b/internal/core/committer.go
@@ -78,6 +78,7 @@
 	cache        *stateCache
 	dependencies *dependencyResolver
 	elector      *elector
+	endMonitor   *endMonitor
 	health       *stateHealth
 	membership   *membership
 	prefetcher   *prefetcher
@@ -259,7 +260,7 @@
 			j.Revision = revision
 		}
 		if written.end.Outcome == jobstate.Done {
-			c.log.Info("job done", "job", j.ID, "tasks", j.Tasks)
+			c.log.Info("job done", "job", j.ID, "tasks", j.Tasks, "revision", revision)
 		}
 		c.cache.noteEnd(j.ID, jobstate.EndStoredAt(written.end, revision))
 	}
@@ -274,6 +275,9 @@
 		j.SetChunkRevision(ref, 0)
 	}
 	if written.removesJob {
+		if j.Outcome() == jobstate.Cancelled {
+			c.endMonitor.removed(j.ID, written.proof, revision)
+		}
 		c.jobKeyRemoved(j)
 		return
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,6 +55,7 @@
 	workers          *workerManager
 	requests         *requestHandler
 	dependencies     *dependencyResolver
+	endMonitor       *endMonitor
 	planner          *planner
 	partitionManager *partitionManager
 	scaler           *scaler
@@ -102,6 +103,7 @@
 	c.committer.cache = c.cache
 	c.committer.dependencies = c.dependencies
 	c.committer.elector = c.elector
+	c.committer.endMonitor = c.endMonitor
 	c.committer.health = c.health
 	c.committer.membership = c.membership
 	c.committer.prefetcher = c.prefetcher
@@ -111,6 +113,7 @@
 
 	c.readLeases.cache = c.cache
 	c.readLeases.elector = c.elector
+	c.readLeases.endMonitor = c.endMonitor
 	c.readLeases.health = c.health
 	c.readLeases.peers = c.peers
 	c.readLeases.sweepManager = c.sweepManager
@@ -120,6 +123,7 @@
 func (c *Core) connectControllers() {
 	c.elector.cache = c.cache
 	c.elector.committer = c.committer
+	c.elector.dependencies = c.dependencies
 	c.elector.health = c.health
 	c.elector.membership = c.membership
 	c.elector.peers = c.peers
@@ -148,6 +152,7 @@
 	c.operators.cache = c.cache
 	c.operators.dependencies = c.dependencies
 	c.operators.elector = c.elector
+	c.operators.endMonitor = c.endMonitor
 	c.operators.health = c.health
 	c.operators.membership = c.membership
 	c.operators.peers = c.peers
@@ -160,6 +165,7 @@
 	c.requests.cache = c.cache
 	c.requests.dependencies = c.dependencies
 	c.requests.elector = c.elector
+	c.requests.endMonitor = c.endMonitor
 	c.requests.health = c.health
 	c.requests.membership = c.membership
 	c.requests.peers = c.peers
@@ -169,9 +175,13 @@
 
 	c.dependencies.cache = c.cache
 	c.dependencies.elector = c.elector
+	c.dependencies.endMonitor = c.endMonitor
 	c.dependencies.requests = c.requests
 	c.dependencies.tasks = c.tasks
 
+	c.endMonitor.cache = c.cache
+	c.endMonitor.reader = c.reader
+
 	c.sweepManager.cache = c.cache
 	c.sweepManager.committer = c.committer
 	c.sweepManager.dependencies = c.dependencies
@@ -248,6 +258,7 @@
 		workers:          &workerManager{engine: run},
 		requests:         newRequestHandler(run),
 		dependencies:     newDependencyResolver(run),
+		endMonitor:       newEndMonitor(run),
 		planner:          &planner{engine: run},
 		partitionManager: &partitionManager{engine: run},
 		scaler:           &scaler{engine: run, costAware: set.WeighsCost(&run.settings.Ops)},
--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 
 	"github.com/zinclb/zinclb/internal/core/jobstate"
 )
@@ -21,10 +22,11 @@
 type dependencyResolver struct {
 	*engine
 
-	cache    *stateCache
-	elector  *elector
-	requests *requestHandler
-	tasks    *taskManager
+	cache      *stateCache
+	elector    *elector
+	endMonitor *endMonitor
+	requests   *requestHandler
+	tasks      *taskManager
 
 	graph *jobstate.DependencyGraph
 	// endReads has when the end of a job may be read again, or endReadInFlight.
@@ -69,7 +71,7 @@
 	lastEndWall, cancelled := d.graph.Add(j, d.knownEnd)
 	switch {
 	case cancelled:
-		d.deriveEnd(j)
+		d.deriveFromDependencies(j)
 	case j.IsBlocked():
 		j.DependenciesEndedWall = lastEndWall
 	default:
@@ -88,25 +90,36 @@
 
 // resolveDependents passes the end of a job on to the jobs that depend on it. Each that is
 // cancelled by it passes that on in turn.
-func (d *dependencyResolver) resolveDependents(id string, end jobstate.End) {
-	released, cancelled := d.graph.RecordEnd(id, end)
+func (d *dependencyResolver) resolveDependents(id string, end jobstate.KnownEnd) {
+	released, cancelled := d.graph.RecordEnd(id, end.End)
 	for _, j := range released {
 		d.startDependent(j, j.DependenciesEndedWall)
 	}
 	for _, j := range cancelled {
-		d.deriveEnd(j)
+		d.deriveEnd(j, id, end)
+	}
+}
+
+// deriveFromDependencies ends a job one of whose dependencies is known to be cancelled.
+func (d *dependencyResolver) deriveFromDependencies(j *jobstate.Job) {
+	for _, id := range j.Dependencies {
+		if end, ok := d.knownEnd(id); ok && end.Outcome == jobstate.Cancelled {
+			d.deriveEnd(j, id, end)
+			return
+		}
 	}
 }
 
 // deriveEnd ends a job because one that it depends on is cancelled. Every controller
 // does so for itself, from ends and dependencies that are stored and never change: so
 // all users see it at once, however many jobs there are, and the leader stores the ends
-// as its budget allows.
-func (d *dependencyResolver) deriveEnd(j *jobstate.Job) {
+// as its budget allows. from is the dependency, or the sweep, that is cancelled.
+func (d *dependencyResolver) deriveEnd(j *jobstate.Job, from string, fromEnd jobstate.KnownEnd) {
 	if j.Outcome() != "" {
 		return
 	}
 	d.graph.Remove(j)
+	d.endMonitor.derived(j.ID, from, fromEnd)
 	d.cache.noteEnd(j.ID, jobstate.DerivedEnd(jobstate.End{Outcome: jobstate.Cancelled, Tasks: j.Tasks}))
 }
 
@@ -127,19 +140,28 @@
 	}
 	inFlight := d.countEndReads()
 	ids := d.graph.Unresolved(func(id string) bool {
-		j := d.cache.jobs[id]
 		_, read := d.endReads[id]
-		return j != nil && j.Outcome() == "" || read
+		return d.isUnfinished(id) || read
 	}, max(0, maxEndReads-inFlight))
 	for _, id := range ids {
 		if end, ok := d.knownEnd(id); ok {
-			d.resolveDependents(id, end.End)
+			d.resolveDependents(id, end)
 			continue
 		}
 		d.readDependencyEnd(id)
 	}
 }
 
+func (d *dependencyResolver) isUnfinished(id string) bool {
+	j := d.cache.jobs[id]
+	return j != nil && j.Outcome() == ""
+}
+
+// countUnknownEnds counts the dependencies that have ended and of which no end is known here.
+func (d *dependencyResolver) countUnknownEnds() int {
+	return len(d.graph.Unresolved(d.isUnfinished, math.MaxInt))
+}
+
 // countEndReads counts the reads under way, and forgets those that may be repeated.
 func (d *dependencyResolver) countEndReads() int {
 	inFlight := 0
@@ -164,12 +186,14 @@
 		case read.Err != nil || read.Revision == 0:
 			// A job that another depends on was accepted before it, so its end comes if
 			// the job itself is gone.
+			d.endMonitor.readFailed(id, read.Err)
 		case json.Unmarshal(read.Value, &end) != nil:
 			d.log.Error("stored end can't be read", "job", id)
 		default:
 			delete(d.endReads, id)
-			d.cache.noteEnd(id, jobstate.EndStoredAt(end, read.Revision))
-			d.resolveDependents(id, end) // if the end was known, but not to the graph
+			stored := jobstate.EndStoredAt(end, read.Revision)
+			d.cache.noteEnd(id, stored)
+			d.resolveDependents(id, stored) // if the end was known, but not to the graph
 		}
 	})
 }
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -60,14 +60,15 @@
 type elector struct {
 	*engine
 
-	cache      *stateCache
-	committer  *committer
-	health     *stateHealth
-	membership *membership
-	peers      *peerMonitor
-	prefetcher *prefetcher
-	tasks      *taskManager
-	workers    *workerManager
+	cache        *stateCache
+	committer    *committer
+	dependencies *dependencyResolver
+	health       *stateHealth
+	membership   *membership
+	peers        *peerMonitor
+	prefetcher   *prefetcher
+	tasks        *taskManager
+	workers      *workerManager
 
 	candidacy    candidacy
 	leadership   *leadership // nil unless this controller leads
@@ -340,7 +341,8 @@
 		}
 	}
 	e.committer.openProgressLog()
-	e.log.Info("elected leader", "fencing_token", e.fencingToken(), "jobs", len(e.cache.jobs), "placements", placements)
+	e.log.Info("elected leader", "fencing_token", e.fencingToken(), "jobs", len(e.cache.jobs), "placements", placements,
+		"revision", e.cache.appliedRevision, "mirror_age_s", inSeconds(e.now-mirrorFreshAt), "unknown_ends", e.dependencies.countUnknownEnds())
 }
 
 // restorePlacements enters a job's placed tasks at their machines, and counts them.
@@ -356,7 +358,8 @@
 // stepDown ends the term, and has the state read anew: plans of the term that were never
 // stored must not be taken for placements.
 func (e *elector) stepDown(reason string) {
-	e.log.Info("stepped down", "fencing_token", e.fencingToken(), "reason", reason)
+	e.log.Info("stepped down", "fencing_token", e.fencingToken(), "reason", reason, "revision", e.cache.appliedRevision,
+		"proof_age_s", inSeconds(e.now-e.leadership.stateProofAt()))
 	e.workers.refuseHeld()
 	e.leadership = nil
 	e.health.updateShare()
--- a/internal/core/endlookup.go
+++ b/internal/core/endlookup.go
@@ -58,7 +58,7 @@
 func (h *requestHandler) onEndCompared(id string, requests []*request, result TransactionResult) {
 	switch {
 	case result.Outcome == kv.Committed:
-		h.answerNoEnd(requests)
+		h.answerNoEnd(requests, lookup{compared: true, revision: result.Revision})
 	case result.Outcome == kv.Conflict && slices.Contains(result.Failed, endPrefix+id):
 		h.readEnd(requests, func() {})
 	default:
@@ -81,11 +81,12 @@
 }
 
 // answerNoEnd answers requests about a job that is neither unfinished nor ended.
-func (h *requestHandler) answerNoEnd(requests []*request) {
+func (h *requestHandler) answerNoEnd(requests []*request, by lookup) {
 	for _, r := range requests {
 		reply := r.refusal
 		if reply.Status == 0 {
 			reply = Reply{Status: ReplyNotFound, Error: "no such job"}
+			h.endMonitor.notFound(r.targetID, by)
 		}
 		reply.RequestID = r.id
 		h.emit(reply)
@@ -102,7 +103,7 @@
 		case read.Err != nil:
 			h.retryLookup(requests)
 		case read.Revision == 0:
-			h.answerNoEnd(requests)
+			h.answerNoEnd(requests, lookup{revision: read.AbsentAt})
 		case json.Unmarshal(read.Value, &end) != nil:
 			h.log.Error("stored end can't be read", "job", id)
 			for _, r := range requests {
--- a/internal/core/leadertransaction.go
+++ b/internal/core/leadertransaction.go
@@ -167,14 +167,25 @@
 	t.addRemoval(written, proof)
 }
 
-// endProof is why a job's keys may go: its end is stored at a revision, or, with 0, is written
-// by the same transaction. storedEndOf and addEnd give it.
-type endProof struct{ revision uint64 }
+// endProof is why a job's keys may go: its end is stored at a revision, or it is written by the
+// same transaction. storedEndOf and addEnd give it.
+type endProof struct {
+	revision  uint64
+	writtenBy *leaderTransaction
+}
+
+// endRevision is at which revision the end is stored, of a transaction made at another.
+func (p endProof) endRevision(revision uint64) uint64 {
+	if p.writtenBy != nil {
+		return revision
+	}
+	return p.revision
+}
 
 // storedEndOf proves that a job's end is stored, if that is known.
 func storedEndOf(j *jobstate.Job) (proof endProof, isStored bool) {
 	end := j.End()
-	return endProof{end.Revision()}, end.IsStored()
+	return endProof{revision: end.Revision()}, end.IsStored()
 }
 
 // addEnd adds a job's end, as the first that is stored.
@@ -183,7 +194,7 @@
 	written.writesEnd = true
 	written.end = t.committer.requests.newEnd(outcome, j)
 	t.add(Write{Key: endPrefix + j.ID, Value: encodeJSON(written.end)}, 0)
-	return endProof{}
+	return endProof{writtenBy: t}
 }
 
 // requireOpenSweep makes the transaction conditional on a run's sweep not being
--- a/internal/core/operatorview.go
+++ b/internal/core/operatorview.go
@@ -30,6 +30,10 @@
 	AnswersForS float64 `json:"answers_for_s,omitempty"`
 	// Awaiting counts the unfinished jobs that wait for their dependencies.
 	Awaiting int `json:"awaiting_jobs"`
+	// UnstoredEnds counts the jobs whose ends are known and not known to be stored: it goes
+	// to 0 within seconds on every controller. Ends has what led to them.
+	UnstoredEnds int       `json:"unstored_ends"`
+	Ends         EndCounts `json:"ends"`
 	// Format is the version of stored data, LimitsLowered says that the announced lower
 	// limits of the state service hold already.
 	Format        int  `json:"format"`
--- a/internal/core/operatorviewer.go
+++ b/internal/core/operatorviewer.go
@@ -15,6 +15,7 @@
 	cache        *stateCache
 	dependencies *dependencyResolver
 	elector      *elector
+	endMonitor   *endMonitor
 	health       *stateHealth
 	membership   *membership
 	peers        *peerMonitor
@@ -77,6 +78,8 @@
 			v.Awaiting++
 		}
 	}
+	v.UnstoredEnds = o.endMonitor.unstored()
+	v.Ends = o.endMonitor.counts
 }
 
 func (o *operatorViewer) viewStateService(v *OperatorView) {
--- a/internal/core/readlease.go
+++ b/internal/core/readlease.go
@@ -38,6 +38,7 @@
 
 	cache        *stateCache
 	elector      *elector
+	endMonitor   *endMonitor
 	health       *stateHealth
 	peers        *peerMonitor
 	sweepManager *sweepManager
@@ -89,7 +90,7 @@
 	holder := r.elector.leadership.readLeases
 	holder.SetIncarnation(m.From, m.Incarnation)
 	if m.Cancellations != nil && holder.ApplyPage(m.From, *m.Cancellations) {
-		r.noteCancelled(m.Cancellations.Cancelled)
+		r.noteCancelled(m.From, m.Cancellations.Cancelled)
 	}
 	ack := holder.Ack(m.From, r.cache.appliedRevision, r.now)
 	status.Ack = &ack
@@ -104,12 +105,12 @@
 
 // onGrant takes the read lease in a peer's answer, and asks for the next page at once.
 func (r *readLeaseManager) onGrant(m PeerPinged) {
-	r.noteCancelled(m.Status.Cancelled)
+	r.noteCancelled(m.Peer, m.Status.Cancelled)
 	page := m.Status.ReadLease
 	if page == nil {
 		return
 	}
-	r.noteCancelled(page.Cancelled)
+	r.noteCancelled(m.Peer, page.Cancelled)
 	if !r.elector.isLeader() {
 		return
 	}
@@ -125,8 +126,8 @@
 	r.grantor.RecordCancellation(id, revision)
 }
 
-// noteCancelled takes note of what another controller knows to be cancelled.
-func (r *readLeaseManager) noteCancelled(ids []string) {
+// noteCancelled takes note of what a peer knows to be cancelled.
+func (r *readLeaseManager) noteCancelled(peer string, ids []string) {
 	for _, id := range ids {
 		if sweepID, ok := strings.CutPrefix(id, cancelledSweepPrefix); ok {
 			r.sweepManager.noteCancelled(sweepID)
@@ -136,6 +137,9 @@
 		if job := r.cache.jobs[id]; job != nil {
 			end.Tasks = job.Tasks
 		}
+		if _, known := r.cache.ends.Get(id); !known {
+			r.endMonitor.told(id, peer)
+		}
 		// The peer may have derived the end: it need not be stored.
 		r.cache.noteEnd(id, jobstate.ToldEnd(end))
 	}
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -120,6 +120,7 @@
 	cache        *stateCache
 	dependencies *dependencyResolver
 	elector      *elector
+	endMonitor   *endMonitor
 	health       *stateHealth
 	membership   *membership
 	peers        *peerMonitor
--- a/internal/core/statecache.go
+++ b/internal/core/statecache.go
@@ -505,7 +505,7 @@
 		s.tasks.jobEnded(j)
 	}
 	if isNew {
-		s.dependencies.resolveDependents(id, known.End)
+		s.dependencies.resolveDependents(id, known)
 	}
 }
 
--- a/internal/core/statemessages.go
+++ b/internal/core/statemessages.go
@@ -87,6 +87,8 @@
 	Key      string
 	Value    []byte
 	Revision uint64
+	// AbsentAt is the newest revision of all when a key was absent, 0 if that is not said.
+	AbsentAt uint64
 	Err      error
 }
 
--- a/internal/core/sweeps.go
+++ b/internal/core/sweeps.go
@@ -176,10 +176,11 @@
 		return
 	}
 	m.mayHaveOpenRuns = false
+	sweepEnd := jobstate.EndStoredAt(jobstate.End{Outcome: jobstate.Cancelled}, m.cache.appliedRevision)
 	for _, id := range sortedKeys(m.cache.jobs) {
 		j := m.cache.jobs[id]
 		if j.Sweep != "" && j.Outcome() == "" && m.isCancelled(j.Sweep) {
-			m.dependencies.deriveEnd(j)
+			m.dependencies.deriveEnd(j, j.Sweep, sweepEnd)
 		}
 	}
 }
--- a/internal/emulator/faketime/state.go
+++ b/internal/emulator/faketime/state.go
@@ -49,9 +49,13 @@
 func (n *Controller) readKey(e core.ReadKey) {
 	n.call(environment.StateHost, wire.Get{Key: e.Key}, getTimeout, func(status int, body any) {
 		read := core.KeyRead{ID: e.ID, Key: e.Key}
-		if row, ok := body.(wire.Row); ok {
-			read.Value, read.Revision = row.Value, row.Stamp
-		} else if status != http.StatusNotFound {
+		switch answer := body.(type) {
+		case wire.Row:
+			read.Value, read.Revision = answer.Value, answer.Stamp
+		case wire.TransactionAnswer:
+			read.AbsentAt = answer.Revision
+		}
+		if status != http.StatusOK && status != http.StatusNotFound {
 			read.Err = statusError(status)
 		}
 		n.step(read)
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,6 +1,6 @@
 // Package metrics writes the operators' view of a controller in the text format that
-// monitoring systems read. Nothing is counted for it: it is made from the view of the
-// moment when it is requested, and costs nothing otherwise.
+// monitoring systems read. It is made from the view of the moment when it is requested, with
+// the counters that are part of that view, and costs nothing otherwise.
 package metrics
 
 import (
@@ -68,13 +68,22 @@
 type sink chan<- prometheus.Metric
 
 func (s sink) gauge(name, help string, value float64, labels ...label) {
+	s.send(prometheus.GaugeValue, name, help, value, labels)
+}
+
+// counter sends what has been counted since the controller's start.
+func (s sink) counter(name, help string, value uint64, labels ...label) {
+	s.send(prometheus.CounterValue, name, help, float64(value), labels)
+}
+
+func (s sink) send(kind prometheus.ValueType, name, help string, value float64, labels []label) {
 	var names, values []string
 	for _, l := range labels {
 		names = append(names, l.name)
 		values = append(values, l.value)
 	}
 	desc := prometheus.NewDesc(prefix+name, help, names, nil)
-	s <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, values...)
+	s <- prometheus.MustNewConstMetric(desc, kind, value, values...)
 }
 
 func (s sink) flag(name, help string, is bool, labels ...label) {
@@ -98,9 +107,21 @@
 	s.gauge("format", "Version of stored data.", float64(view.Format))
 	s.gauge("unfinished_jobs", "Accepted jobs that are not over.", float64(view.Jobs))
 	s.gauge("awaiting_jobs", "Unfinished jobs that wait for others to be done.", float64(view.Awaiting))
+	s.gauge("unstored_ends", "Jobs whose ends are known and not known to be stored.", float64(view.UnstoredEnds))
+	s.ends(&view.Ends)
 	s.gauge("troubles", "Troubles that operators are told of.", float64(len(view.Conditions)))
 }
 
+// ends sends how ends became known, and how often a job was called unknown.
+func (s sink) ends(counts *core.EndCounts) {
+	s.counter("ends_derived_total", "Ends of jobs that followed from the ends of others.", counts.Derived)
+	s.counter("ends_told_total", "Ends of jobs that other controllers told of first.", counts.Told)
+	s.counter("end_reads_failed_total", "Reads of ends of dependencies that had no answer or found none.", counts.FailedReads)
+	const help = "Answers that a job is not known, by how its end was looked for."
+	s.counter("not_found_total", help, counts.NotFoundCompared, label{"lookup", "compared"})
+	s.counter("not_found_total", help, counts.NotFoundRead, label{"lookup", "read"})
+}
+
 // connectivity sends which controllers, links and machines are reached.
 func (s sink) connectivity(view *core.OperatorView) {
 	for _, peer := range view.Peers {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -70,8 +70,9 @@
 }
 
 func (n *Node) readKey(e core.ReadKey) {
-	value, revision, err := n.state.Get(e.Key)
-	n.deliver(core.KeyRead{ID: e.ID, Key: e.Key, Value: value, Revision: revision, Err: err})
+	read := n.state.Get(e.Key)
+	read.ID = e.ID
+	n.deliver(read)
 }
 
 func (n *Node) grantLease(e core.GrantLease, sentAt int64) {
--- a/internal/store/read.go
+++ b/internal/store/read.go
@@ -78,23 +78,41 @@
 	return page, nil
 }
 
-// Get reads a key; revision 0 means that it does not exist.
-func (c *Client) Get(key string) (value []byte, revision uint64, err error) {
+// Get reads a key; a revision of 0 means that it does not exist.
+func (c *Client) Get(key string) core.KeyRead {
 	body, err := c.call(http.MethodGet, "/kv/"+key, nil, getTimeout)
+	read := core.KeyRead{Key: key}
 	switch {
 	case errors.Is(err, StatusError(http.StatusNotFound)):
-		return nil, 0, nil
+		read.AbsentAt = absentAt(body)
+		return read
 	case err != nil:
-		return nil, 0, err
+		read.Err = err
+		return read
 	}
 	var row rowWire
 	if err := json.Unmarshal(body, &row); err != nil {
-		return nil, 0, fmt.Errorf("get: %w", err)
+		read.Err = fmt.Errorf("get: %w", err)
+		return read
 	}
 	if row.Revision == 0 {
-		return nil, 0, fmt.Errorf("get: %w", errNoRevision)
+		read.Err = fmt.Errorf("get: %w", errNoRevision)
+		return read
+	}
+	read.Value, read.Revision = row.Value, row.Revision
+	return read
+}
+
+// absentAt is the revision that an answer about an absent key names, 0 if it can't be read:
+// that the key is absent is certain all the same.
+func absentAt(body []byte) uint64 {
+	var answer struct {
+		Revision uint64 `json:"ledger"`
+	}
+	if json.Unmarshal(body, &answer) != nil {
+		return 0
 	}
-	return row.Value, row.Revision, nil
+	return answer.Revision
 }
 
 // changesWire is the answer of a watch.
--- a/internal/store/recorded_test.go
+++ b/internal/store/recorded_test.go
@@ -25,9 +25,10 @@
 }
 
 type gotten struct {
-	Value string
-	Stamp uint64
-	Err   error
+	Value    string
+	Stamp    uint64
+	AbsentAt uint64
+	Err      error
 }
 
 type leased struct {
@@ -48,8 +49,8 @@
 		return l
 	}
 	get := func() any {
-		value, stamp, err := client.Get("zinclb/job/a")
-		return gotten{string(value), stamp, err}
+		read := client.Get("zinclb/job/a")
+		return gotten{string(read.Value), read.Revision, read.AbsentAt, read.Err}
 	}
 	multi := func() any {
 		return client.Transact(core.CommitTransaction{
@@ -86,6 +87,8 @@
 		{"list, refused", list, []httpwire.Response{answered(429, `{}`)}, listed{Paced: 1, Err: StatusError(429)}},
 		{"get", get, []httpwire.Response{answered(200, `{"path":"zinclb/job/a","data":{"x":1},"stamp":8}`)}, gotten{Value: `{"x":1}`, Stamp: 8}},
 		{"get, absent", get, []httpwire.Response{answered(404, `{}`)}, gotten{}},
+		{"get, absent at a revision", get, []httpwire.Response{answered(404, `{"ledger":431}`)}, gotten{AbsentAt: 431}},
+		{"get, absent, unreadable", get, []httpwire.Response{answered(404, `{`)}, gotten{}},
 		{"get, refused", get, []httpwire.Response{answered(503, `{}`)}, gotten{Err: StatusError(503)}},
 		{"multi, done", multi, []httpwire.Response{answered(200, `{"ledger":43}`)}, core.TransactionResult{ID: 5, Outcome: kv.Committed, Revision: 43}},
 		{"multi, conditions fail", multi, []httpwire.Response{answered(409, `{"ledger":44,"failed":["zinclb/leader"]}`)}, core.TransactionResult{ID: 5, Outcome: kv.Conflict, Revision: 44, Failed: []string{"zinclb/leader"}}},
@@ -144,8 +147,8 @@
 		call       func() error
 	}{
 		{`{`, "list: unexpected end of JSON input", func() error { _, _, err := client.List("p", func() {}); return err }},
-		{`{`, "get: unexpected end of JSON input", func() error { _, _, err := client.Get("p"); return err }},
-		{`{"data":1}`, "get: no stamp", func() error { _, _, err := client.Get("p"); return err }},
+		{`{`, "get: unexpected end of JSON input", func() error { return client.Get("p").Err }},
+		{`{"data":1}`, "get: no stamp", func() error { return client.Get("p").Err }},
 		{`{`, "lease: bad answer unexpected end of JSON input", func() error { _, err := client.GrantLease(time.Second); return err }},
 		{`{}`, "lease: bad answer no tenure", func() error { _, err := client.GrantLease(time.Second); return err }},
 		{`{`, "watch: unexpected end of JSON input", func() error { return client.Watch("p", 1, 0).Err }},
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -42,14 +42,14 @@
 func (e StatusError) Error() string { return "state service answered " + strconv.Itoa(int(e)) }
 
 // call makes a call and returns the body of its answer. Any status but 200 is a
-// StatusError.
+// StatusError, which comes with the body too.
 func (c *Client) call(method, target string, body []byte, timeout time.Duration) ([]byte, error) {
 	m, err := c.http.Do(method, target, body, timeout)
 	if err != nil {
 		return nil, err
 	}
 	if m.Status != http.StatusOK {
-		return nil, StatusError(m.Status)
+		return m.Body, StatusError(m.Status)
 	}
 	return m.Body, nil
 }
