Emulator: of unanswered requests the first to be sent stands for the others

Cause: addUnknown kept the request that was given up first. Change: the kept operation takes the earliest time of sending of its kind; a later one can do nothing that it can't. As strict as before: histories in which both were sent too late are still found.

--- a/internal/emulator/history/linearizability.go
+++ b/internal/emulator/history/linearizability.go
@@ -51,7 +51,7 @@
 		expected: terms,
 		sent:     map[uint64]Event{},
 		left:     map[string]int{},
-		open:     map[operationInput]bool{},
+		open:     map[operationInput]int{},
 		swept:    map[string]bool{},
 	}
 	for id, runs := range terms.Sweeps {
@@ -85,10 +85,10 @@
 	operations []porcupine.Operation
 	sent       map[uint64]Event // requests without an answer so far
 	left       map[string]int   // tasks by job
-	// open are requests without an answer. The first of its kind is enough: what a
-	// later one could do it can have done, and neither does it twice. All of them would
-	// make the search grow beyond measure.
-	open  map[operationInput]bool
+	// open are requests without an answer, by their places in operations. The first of its
+	// kind to be sent is enough: what a later one could do it can have done, and neither does
+	// it twice. All of them would make the search grow beyond measure.
+	open  map[operationInput]int
 	swept map[string]bool // sweeps, and their runs, which end with them
 }
 
@@ -101,10 +101,15 @@
 // addUnknown adds a request of which nobody knows whether and when it took effect.
 func (b *operationBuilder) addUnknown(op, job string, at int64) {
 	input := operationInput{op, job}
-	if op == Poll || b.open[input] {
+	if op == Poll {
 		return
 	}
-	b.open[input] = true
+	if i, isOpen := b.open[input]; isOpen {
+		// The one that is given up first need not be the one that was sent first.
+		b.operations[i].Call = min(b.operations[i].Call, at)
+		return
+	}
+	b.open[input] = len(b.operations)
 	b.operations = append(b.operations, porcupine.Operation{Input: input, Call: at, Output: operationOutput{}, Return: math.MaxInt64})
 }
 
