--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -57,6 +57,8 @@
 	// reads counts the reads of single keys and the transactions that only compare;
 	// the next readsToRefuse of them are refused for their rate.
 	reads, readsToRefuse int
+	// commits counts the transactions that write.
+	commits int
 	// delaysCommits: transactions are kept in delayedCommits until the test commits them.
 	delaysCommits  bool
 	delayedCommits []CommitTransaction
@@ -205,6 +207,9 @@
 		h.delayedCommits = append(h.delayedCommits, e)
 		return
 	}
+	if len(e.Writes) > 0 {
+		h.commits++
+	}
 	result := h.check(e)
 	var changes []Change
 	if result.Outcome == kv.Committed {
