Core: a submission that fails on a stored end is answered with that end

Cause: a submission whose write failed on the end of its job read the state again, in which ends are not listed, took the job for new once more and wrote again, until its time was over: a check in the path of questions and not in that of submissions. Each such request spent a dozen changes and got 503 from every controller that had started since.

Change: the end is looked up as for questions.

--- a/internal/core/submission.go
+++ b/internal/core/submission.go
@@ -126,7 +126,12 @@
 	case kv.Committed:
 		h.emit(Reply{RequestID: r.id, Status: ReplyCreated, Job: &JobState{ID: r.targetID, State: Queued}})
 	case kv.Conflict:
-		// It is known: a repeat, perhaps of this very request.
+		// It is known: a repeat, perhaps of this very request. A read of the state brings no
+		// ends, and the write would fail on that of a job that was over before.
+		if slices.Contains(result.Failed, endPrefix+r.targetID) {
+			h.lookUpEnd(r)
+			return
+		}
 		h.waitForRead(r)
 	case kv.Malformed:
 		// It is no longer than the limits that were known.
