Emulator: a soak of drawn runs, short and seeded in the tests, long by hand

Runs drawn from seeds: pipelines of which half are cancelled, some behind jobs that are over, near the limits of the state service, with restarts of one and of all controllers, refusals, outages, late writes and close questions; all rules and the end of every accepted job are checked.

--- a/cmd/zinclb-emulator/main.go
+++ b/cmd/zinclb-emulator/main.go
@@ -64,7 +64,7 @@
 	f.StringSliceVar(&o.Binaries, "binary", nil, "controllers' programs, given out in turn; without any they are started by hand")
 	f.StringSliceVar(&o.Args, "arg", nil, "arguments of controllers before --config")
 	f.StringVar(&out, "history", "", "writes everything that happened here, as JSON lines")
-	cmd.AddCommand(checkCommand(), faultCommand(), partitionsCommand(), faultCombosCommand(), outagesCommand(), scaleCommand(), capacityCommand(), workersCommand())
+	cmd.AddCommand(checkCommand(), faultCommand(), partitionsCommand(), faultCombosCommand(), outagesCommand(), soakCommand(), scaleCommand(), capacityCommand(), workersCommand())
 	return cmd
 }
 
--- a/internal/architecture_test.go
+++ b/internal/architecture_test.go
@@ -46,7 +46,7 @@
 		"internal/config", "internal/emulator/capacity", "internal/emulator/cases", "internal/emulator/environment",
 		"internal/emulator/faultcombos", "internal/emulator/history", "internal/emulator/outages",
 		"internal/emulator/partitions", "internal/emulator/scale", "internal/emulator/scenario",
-		"internal/emulator/sockets", "internal/emulator/workerproc", "internal/jsonlines",
+		"internal/emulator/soak", "internal/emulator/sockets", "internal/emulator/workerproc", "internal/jsonlines",
 	},
 	"cmd/zinclb-experiment": {"internal/config", "internal/experiment", "internal/jsonlines"},
 	"cmd/zinclb-load":       {"internal/emulator/scenario", "internal/jsonlines", "internal/load"},
@@ -118,6 +118,10 @@
 		"internal/config", "internal/core", "internal/emulator/cases", "internal/emulator/environment", "internal/emulator/faketime",
 		"internal/emulator/history", "internal/emulator/wire",
 	},
+	"internal/emulator/soak": {
+		"internal/config", "internal/emulator/cases", "internal/emulator/environment", "internal/emulator/faketime",
+		"internal/emulator/wire",
+	},
 	"internal/emulator/meter": {},
 	"internal/emulator/sockets": {
 		"internal/config", "internal/emulator/environment", "internal/emulator/history", "internal/emulator/meter",
