Emulator: jobs that depend on cancelled ones, while each leader is refused and restarted

An enumerated combination of its own: jobs submitted behind ones that were cancelled under an earlier leader, with close questions, little of the state service and a new leader every few seconds; users have to be told of 20 derived ends.

--- a/internal/emulator/faultcombos/faultcombos.go
+++ b/internal/emulator/faultcombos/faultcombos.go
@@ -181,7 +181,7 @@
 }
 
 // AllCases are the cases of a size: each of the base scripts, then each pair of them, with
-// each extra script; then the other scripts.
+// each extra script; then the other scripts, and those about pipelines.
 func AllCases(size int) (out []Case) {
 	add := func(l ...faultScript) {
 		for _, w := range extraScripts {
@@ -205,6 +205,9 @@
 			out = append(out, Case{Size: size, scripts: []faultScript{a, b}, extra: extraScripts[len(out)%len(extraScripts)], Seed: uint64(len(out) + 1)})
 		}
 	}
+	for _, t := range pipelineScripts {
+		add(t)
+	}
 	return out
 }
 
@@ -475,6 +478,8 @@
 		return e.Reason
 	case e.Kind == history.StateChanged && e.Key == core.LeaderKey && e.State == "put" && e.At > faultsBegin:
 		return occurLeader
+	case isDerivedEnd(e, job):
+		return occurDerived
 	case e.Kind == history.TaskLeft && e.Reason == "lease":
 		return occurLease
 	case e.Kind == history.TaskLeft && e.Reason == "died" && job != nil && job.Class == "bound":
--- a/internal/emulator/faultcombos/faultcombos_test.go
+++ b/internal/emulator/faultcombos/faultcombos_test.go
@@ -33,7 +33,8 @@
 	})
 }
 
-// isSingle says whether it has one of moreScripts and nothing else.
+// isSingle says whether it has one of moreScripts or pipelineScripts and nothing else.
 func (c Case) isSingle() bool {
-	return len(c.scripts) == 1 && c.extra.name == "" && slices.ContainsFunc(moreScripts, func(t faultScript) bool { return t.name == c.scripts[0].name })
+	scripts := slices.Concat(moreScripts, pipelineScripts)
+	return len(c.scripts) == 1 && c.extra.name == "" && slices.ContainsFunc(scripts, func(t faultScript) bool { return t.name == c.scripts[0].name })
 }
