--- a/internal/core/sweeps_test.go
+++ b/internal/core/sweeps_test.go
@@ -222,3 +222,38 @@
 		}
 	}
 }
+
+// TestRunToldByPeer: a run that a peer tells is cancelled counts as ended only once its end is
+// stored, as the sweep's position lets the run be forgotten.
+func TestRunToldByPeer(t *testing.T) {
+	h := newSweepHarness(t, true)
+	submission := sweepOf(2, 1000)
+	h.submitSweep(submission)
+	sweep := h.core.sweepManager.sweep(sweepID)
+	sweep.plan = submission.Plan
+	h.advance(2 * second)
+	id := runID(0)
+	if h.core.cache.jobs[id] == nil {
+		t.Fatal("the run is not created")
+	}
+	h.delaysCommits = true
+	h.step(PeerPinged{Peer: "n1", SentAt: h.now, OK: true, Status: PeerStatus{Cancelled: []string{id}}})
+	h.advance(3 * second)
+	if end, ok := h.core.cache.ends.Get(id); !ok || end.IsStored() {
+		t.Fatalf("the end is known as %+v", end)
+	}
+	if sweep.ended.Contains(0) {
+		t.Error("the run is counted before its end is stored")
+	}
+	h.delaysCommits = false
+	for _, delayed := range h.delayedCommits {
+		h.commit(delayed)
+	}
+	h.advance(3 * second)
+	if h.keys[endPrefix+id].Revision == 0 {
+		t.Error("the end of the run is not stored")
+	}
+	if !sweep.ended.Contains(0) || !sweep.cancelled.Contains(0) {
+		t.Error("the run is not counted though its end is stored")
+	}
+}
