--- a/internal/core/jobstate/dependencies.go
+++ b/internal/core/jobstate/dependencies.go
@@ -24,9 +24,9 @@
 // last of them among the awaited, and cancelled that one of them is cancelled.
 func (g *DependencyGraph) Add(j *Job, known func(id string) (KnownEnd, bool)) (last int64, cancelled bool) {
 	for _, id := range j.Dependencies {
-		e, ok := known(id)
+		end, isKnown := known(id)
 		switch {
-		case !ok:
+		case !isKnown:
 			if j.UnmetDependencies == nil {
 				j.UnmetDependencies = map[string]struct{}{}
 			}
@@ -34,10 +34,10 @@
 				j.UnmetDependencies[id] = struct{}{}
 				g.dependents[id] = append(g.dependents[id], j)
 			}
-		case e.Outcome != Done:
+		case end.Outcome != Done:
 			cancelled = true
 		default:
-			last = max(last, e.At)
+			last = max(last, end.At)
 		}
 	}
 	return last, cancelled
@@ -45,17 +45,17 @@
 
 // RecordEnd notes a stored end, and returns the jobs that it releases and those
 // that it cancels: only the ones that await it directly, as these end in turn.
-func (g *DependencyGraph) RecordEnd(id string, e End) (released, cancelled []*Job) {
-	after := g.dependents[id]
+func (g *DependencyGraph) RecordEnd(id string, end End) (released, cancelled []*Job) {
+	dependents := g.dependents[id]
 	delete(g.dependents, id)
-	for _, j := range after {
+	for _, j := range dependents {
 		if j.Outcome() != "" {
 			continue
 		}
 		delete(j.UnmetDependencies, id)
-		j.DependenciesEndedWall = max(j.DependenciesEndedWall, e.At)
+		j.DependenciesEndedWall = max(j.DependenciesEndedWall, end.At)
 		switch {
-		case e.Outcome != Done:
+		case end.Outcome != Done:
 			cancelled = append(cancelled, j)
 		case len(j.UnmetDependencies) == 0:
 			released = append(released, j)
@@ -67,11 +67,11 @@
 // Remove forgets a job that waits no more.
 func (g *DependencyGraph) Remove(j *Job) {
 	for id := range j.UnmetDependencies {
-		l := slices.DeleteFunc(g.dependents[id], func(o *Job) bool { return o == j })
-		if len(l) == 0 {
+		others := slices.DeleteFunc(g.dependents[id], func(dependent *Job) bool { return dependent == j })
+		if len(others) == 0 {
 			delete(g.dependents, id)
 		} else {
-			g.dependents[id] = l
+			g.dependents[id] = others
 		}
 	}
 	j.UnmetDependencies = nil
@@ -79,15 +79,15 @@
 
 // Unresolved lists awaited jobs that are neither unfinished here nor known to
 // have ended, at most so many.
-func (g *DependencyGraph) Unresolved(unfinished func(id string) bool, most int) []string {
-	var l []string
+func (g *DependencyGraph) Unresolved(isUnfinished func(id string) bool, limit int) []string {
+	var ids []string
 	for id := range g.dependents {
-		if !unfinished(id) {
-			l = append(l, id)
+		if !isUnfinished(id) {
+			ids = append(ids, id)
 		}
 	}
-	slices.Sort(l)
-	return l[:min(len(l), most)]
+	slices.Sort(ids)
+	return ids[:min(len(ids), limit)]
 }
 
 // IsResolved says whether all that a job needs, directly or through others, is
@@ -103,11 +103,11 @@
 		}
 		j.visitedRound = g.round
 		for id := range j.UnmetDependencies {
-			n := find(id)
-			if n == nil || n.Outcome() != "" {
+			dependency := find(id)
+			if dependency == nil || dependency.Outcome() != "" {
 				return false
 			}
-			todo = append(todo, n)
+			todo = append(todo, dependency)
 		}
 	}
 	return true
@@ -133,13 +133,13 @@
 			todo = todo[:len(todo)-1]
 			continue
 		}
-		more := false
-		for _, o := range g.dependents[j.ID] {
-			if o.Outcome() == "" && o.visitedRound != g.round {
-				todo, more = append(todo, o), true
+		hasUnvisited := false
+		for _, dependent := range g.dependents[j.ID] {
+			if dependent.Outcome() == "" && dependent.visitedRound != g.round {
+				todo, hasUnvisited = append(todo, dependent), true
 			}
 		}
-		if more {
+		if hasUnvisited {
 			continue
 		}
 		j.visitedRound = g.round
@@ -148,16 +148,17 @@
 		if j.Deadline > 0 {
 			j.EffectiveDeadline = j.SubmittedAt + j.Deadline
 		}
-		for _, o := range g.dependents[j.ID] {
-			if o.Outcome() != "" {
+		for _, dependent := range g.dependents[j.ID] {
+			if dependent.Outcome() != "" {
 				continue
 			}
-			j.EffectivePriority = max(j.EffectivePriority, o.EffectivePriority)
-			if o.EffectiveDeadline == 0 {
+			j.EffectivePriority = max(j.EffectivePriority, dependent.EffectivePriority)
+			if dependent.EffectiveDeadline == 0 {
 				continue
 			}
-			if at := max(1, o.EffectiveDeadline-o.Estimate-overhead); j.EffectiveDeadline == 0 || at < j.EffectiveDeadline {
-				j.EffectiveDeadline = at
+			latestEnd := max(1, dependent.EffectiveDeadline-dependent.Estimate-overhead)
+			if j.EffectiveDeadline == 0 || latestEnd < j.EffectiveDeadline {
+				j.EffectiveDeadline = latestEnd
 			}
 		}
 	}
@@ -171,9 +172,12 @@
 func (g *DependencyGraph) DeadlineOwner(j *Job) *Job {
 	for {
 		var next *Job
-		for _, o := range g.dependents[j.ID] {
-			if o.Outcome() == "" && o.EffectiveDeadline != 0 && (next == nil || o.EffectiveDeadline-o.Estimate < next.EffectiveDeadline-next.Estimate) {
-				next = o
+		for _, dependent := range g.dependents[j.ID] {
+			if dependent.Outcome() != "" || dependent.EffectiveDeadline == 0 {
+				continue
+			}
+			if next == nil || dependent.latestStart() < next.latestStart() {
+				next = dependent
 			}
 		}
 		if next == nil || j.Deadline > 0 && j.SubmittedAt+j.Deadline <= j.EffectiveDeadline {
@@ -182,3 +186,6 @@
 		j = next
 	}
 }
+
+// latestStart is when a job has to start by its owner's estimate to keep its latest end.
+func (j *Job) latestStart() int64 { return j.EffectiveDeadline - j.Estimate }
--- a/internal/core/writequeue.go
+++ b/internal/core/writequeue.go
@@ -69,3 +69,24 @@
 	}
 	h.queues.queuedWrites = append(h.queues.queuedWrites, r)
 }
+
+// writesLacking is how many changes requests wait for, with so many left.
+func (q *requestQueues) writesLacking(left float64) int {
+	if len(q.queuedWrites) == 0 || left >= 1 {
+		return 0
+	}
+	n := 0
+	for _, r := range q.queuedWrites {
+		n += r.writeCost()
+	}
+	return n
+}
+
+// writeCost is how many changes a request takes; a sweep's are told from its size when
+// it is written.
+func (r *request) writeCost() int {
+	if r.kind == requestCancel {
+		return cancelWrites
+	}
+	return submitWrites
+}
