--- a/internal/core/repeatedsubmission_test.go
+++ b/internal/core/repeatedsubmission_test.go
@@ -10,11 +10,11 @@
 // as they tried. The controller did not have the job's end in memory and took the job for new; its
 // write failed on the end that is stored, it read the state, in which ends are not listed, and
 // wrote again, until the time of the request was over. Questions about the same job were answered,
-// as they look the end up. In a run in fake time one job's submission was refused 30 times in the
-// 130 s after the last fault, and a deployment's records have 13 writes for one request:
+// as they look the end up. In a run in fake time one job's submission was refused 25 times in the
+// 125 s after the last fault, and a deployment's records have 13 writes for one request:
 //
-//	204.13 stoker-1 POST /multi put zinclb/job/req-389700, if zinclb/job/req-389700@0,
-//	if zinclb/end/req-389700@0 (3 keys): 409 revision 1440 failed [zinclb/end/req-389700];
+//	204.13 stoker-1 POST /multi put zinclb/job/JOB, if zinclb/job/JOB@0,
+//	if zinclb/end/JOB@0 (3 keys): 409 revision 1440 failed [zinclb/end/JOB];
 //	and the like  (13 times, the last at 206.16)
 
 // TestRepeatedSubmission: a submission that is repeated after the job is over is answered with
--- a/internal/experiment/cancelledchains_test.go
+++ b/internal/experiment/cancelledchains_test.go
@@ -12,9 +12,9 @@
 // such a job is cancelled were told 404, or that it is pending, by the next controller that
 // started. Of the seeds from 1 to 40 four lost an end:
 //
-//	at 75.504 s lost_end: req-100223 is removed and its end is not stored
-//	at 86.210 s forgotten: req-100262 is not found
-//	at 37.195 s went_back: req-100068 was withdrawn and is pending
+//	at 75.504 s lost_end: JOB is removed and its end is not stored
+//	at 86.210 s forgotten: JOB is not found
+//	at 37.195 s went_back: JOB was withdrawn and is pending
 //
 // core.TestToldEndIsStored has the messages that led to it.
 
