--- a/internal/core/repeatedsubmission_test.go
+++ b/internal/core/repeatedsubmission_test.go
@@ -11,7 +11,7 @@
 // write failed on the end that is stored, it read the state, in which ends are not listed, and
 // wrote again, until the time of the request was over. Questions about the same job were answered,
 // as they look the end up. In a run in fake time one job's submission was refused 25 times in the
-// 125 s after the last fault, and a deployment's records have 13 writes for one request:
+// 125 s after the last fault, and the records of a deployment have 13 such writes within 2.1 s:
 //
 //	204.13 stoker-1 POST /multi put zinclb/job/JOB, if zinclb/job/JOB@0,
 //	if zinclb/end/JOB@0 (3 keys): 409 revision 1440 failed [zinclb/end/JOB];
