--- a/internal/core/toldend_test.go
+++ b/internal/core/toldend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/zinclb/zinclb/internal/core/jobstate"
@@ -170,3 +171,33 @@
 		}
 	}
 }
+
+// TestDerivedEndIsNotTold: a controller tells no peer of an end that it has derived, as a leader
+// starts nothing of a job behind a cancelled one, and one of a version before ends were told
+// apart would take it for stored: with two versions side by side such a leader lost an end that
+// a newer controller had told it. So users need not wait for the leader to learn of it either.
+func TestDerivedEndIsNotTold(t *testing.T) {
+	h := newHarness(t, map[string]any{
+		formatKey:            joined,
+		LeaderKey:            leaderRecord{Name: "n1", Incarnation: "x", Token: 1, Lease: 1},
+		endPrefix + "first":  cancelled,
+		jobPrefix + "second": job("second", "first"),
+	})
+	h.core.settings.Peers = []string{"n1"}
+	h.core.readLeases.grantor = readlease.NewGrantor("b", h.core.settings.Peers, h.core.settings.LeaderAuthorityTime(), h.now)
+	h.advance(2 * second)
+	h.step(PeerPinged{Peer: "n1", SentAt: h.now, OK: true, Status: PeerStatus{Ack: &readlease.HolderAck{}}})
+	h.step(PingReceived{RequestID: 900, From: "n1", Incarnation: "x", ReadLeaseRequest: &readlease.GrantRequest{}})
+	if state := h.jobState("second"); state != jobstate.Cancelled {
+		t.Errorf("the answer about the job is %s while a peer holds a read lease", state)
+	}
+	h.step(PingReceived{RequestID: 901, From: "n1", Incarnation: "x", ReadLeaseRequest: &readlease.GrantRequest{}})
+	page := h.replies[901].PeerStatus.ReadLease
+	if slices.Contains(page.Cancelled, "second") || !slices.Contains(page.Cancelled, "first") {
+		t.Errorf("the holder of a read lease is told of %v", page.Cancelled)
+	}
+	h.step(PingReceived{RequestID: 902, From: "n1"})
+	if told := h.replies[902].PeerStatus.Cancelled; slices.Contains(told, "second") || !slices.Contains(told, "first") {
+		t.Errorf("a leader of an older program is told of %v", told)
+	}
+}
