Core: read leases tell of no end that is derived

Cause: a leader of the version before takes any cancellation that a peer tells for a stored one, and in a rollout newer controllers told it derived ends. It needs none: no task of a job behind a cancelled one is started before that one is done.

--- a/internal/core/dependencies.go
+++ b/internal/core/dependencies.go
@@ -52,23 +52,12 @@
 	return len(j.Dependencies) > 0 || d.graph.HasDependents(j)
 }
 
-// knownEnd is the end of a job, as far as it is known here.
-func (d *dependencyResolver) knownEnd(id string) (jobstate.KnownEnd, bool) {
-	if end, ok := d.cache.ends.Get(id); ok {
-		return end, true
-	}
-	if j := d.cache.jobs[id]; j != nil && j.Outcome() != "" {
-		return j.End(), true
-	}
-	return jobstate.KnownEnd{}, false
-}
-
 // addJob is called for each unfinished job that is new here.
 func (d *dependencyResolver) addJob(j *jobstate.Job) {
 	if len(j.Dependencies) == 0 {
 		return
 	}
-	lastEndWall, cancelled := d.graph.Add(j, d.knownEnd)
+	lastEndWall, cancelled := d.graph.Add(j, d.cache.knownEnd)
 	switch {
 	case cancelled:
 		d.deriveFromDependencies(j)
@@ -103,7 +92,7 @@
 // deriveFromDependencies ends a job one of whose dependencies is known to be cancelled.
 func (d *dependencyResolver) deriveFromDependencies(j *jobstate.Job) {
 	for _, id := range j.Dependencies {
-		if end, ok := d.knownEnd(id); ok && end.Outcome == jobstate.Cancelled {
+		if end, ok := d.cache.knownEnd(id); ok && end.Outcome == jobstate.Cancelled {
 			d.deriveEnd(j, id, end)
 			return
 		}
@@ -144,7 +133,7 @@
 		return d.isUnfinished(id) || read
 	}, max(0, maxEndReads-inFlight))
 	for _, id := range ids {
-		if end, ok := d.knownEnd(id); ok {
+		if end, ok := d.cache.knownEnd(id); ok {
 			d.resolveDependents(id, end)
 			continue
 		}
--- a/internal/core/readlease.go
+++ b/internal/core/readlease.go
@@ -145,6 +145,13 @@
 	}
 }
 
+// noteCancellation records how a job was cancelled, unless no holder of a read lease has to know.
+func (r *readLeaseManager) noteCancellation(id string, end jobstate.KnownEnd) {
+	if !r.cancelledWithSweep(id) && end.Source() != jobstate.EndDerived {
+		r.recordCancellation(id, end.Revision())
+	}
+}
+
 // cancelledWithSweep reports whether a job is a run that is cancelled with its sweep. Then the
 // cancellation of the sweep stands for all of its runs.
 func (r *readLeaseManager) cancelledWithSweep(id string) bool {
@@ -156,11 +163,9 @@
 // of this controller knows of them. If that takes too long the user is asked to retry: such a
 // holder is cut off, and its lease expires.
 func (r *readLeaseManager) replyCancelled(reply Reply, ids ...string) {
-	for i, id := range ids {
-		if r.cancelledWithSweep(id) {
-			ids[i] = cancelledSweepPrefix + r.cache.jobs[id].Sweep
-		}
-		r.recordCancellation(ids[i], 0)
+	ids = r.idsToTell(ids)
+	for _, id := range ids {
+		r.recordCancellation(id, 0)
 	}
 	switch {
 	case len(r.grantor.Uninformed(ids, r.now)) == 0:
@@ -173,6 +178,24 @@
 	}
 }
 
+// idsToTell are what holders of read leases have to know of: sweeps in place of their runs, and
+// no job whose end is derived. A leader starts nothing of a job behind a cancelled one, and one of
+// an earlier version would take such an end for stored.
+func (r *readLeaseManager) idsToTell(ids []string) []string {
+	var told []string
+	for _, id := range ids {
+		if r.cancelledWithSweep(id) {
+			told = append(told, cancelledSweepPrefix+r.cache.jobs[id].Sweep)
+			continue
+		}
+		if end, known := r.cache.knownEnd(id); known && end.Source() == jobstate.EndDerived {
+			continue
+		}
+		told = append(told, id)
+	}
+	return told
+}
+
 func cancellationUnconfirmed(requestID uint64) Reply {
 	return Reply{RequestID: requestID, Status: ReplyUnavailable, RetryAfter: 1, Error: "a controller that may lead has yet to learn of the cancellation"}
 }
--- a/internal/core/statecache.go
+++ b/internal/core/statecache.go
@@ -491,13 +491,24 @@
 	s.orphanedChunks[id][ref] = stored
 }
 
+// knownEnd is the end of a job, as far as it is known here.
+func (s *stateCache) knownEnd(id string) (jobstate.KnownEnd, bool) {
+	if end, ok := s.ends.Get(id); ok {
+		return end, true
+	}
+	if j := s.jobs[id]; j != nil && j.Outcome() != "" {
+		return j.End(), true
+	}
+	return jobstate.KnownEnd{}, false
+}
+
 // noteEnd notes how a job has ended. Whatever users are told of an end has passed here, so it
 // is here that this controller records a cancellation for its read leases.
 func (s *stateCache) noteEnd(id string, end jobstate.KnownEnd) {
-	if end.Outcome == jobstate.Cancelled && !s.readLeases.cancelledWithSweep(id) {
-		s.readLeases.recordCancellation(id, end.Revision())
-	}
 	known, isNew := s.ends.Record(id, end)
+	if known.Outcome == jobstate.Cancelled {
+		s.readLeases.noteCancellation(id, known)
+	}
 	if j := s.jobs[id]; j != nil && j.RecordEnd(known) {
 		if known.Outcome == jobstate.Done {
 			s.imageHistory.finished(j)
--- a/internal/core/sweepadvance.go
+++ b/internal/core/sweepadvance.go
@@ -60,7 +60,7 @@
 		i := int(it.Next())
 		id := s.plan.Specs[i].ID
 		j := m.cache.jobs[id]
-		end, ended := m.dependencies.knownEnd(id)
+		end, ended := m.cache.knownEnd(id)
 		switch {
 		case ended && end.IsStored():
 			s.countRun(i, end.Outcome, m.now)
--- a/internal/core/sweeprequests.go
+++ b/internal/core/sweeprequests.go
@@ -294,7 +294,7 @@
 func (m *sweepManager) runState(s *sweep, i int) string {
 	id := s.plan.Specs[i].ID
 	j := m.cache.jobs[id]
-	end, ended := m.dependencies.knownEnd(id)
+	end, ended := m.cache.knownEnd(id)
 	switch {
 	case ended:
 		return end.Outcome
