--- a/internal/experiment/cancelledchains_test.go
+++ b/internal/experiment/cancelledchains_test.go
@@ -18,7 +18,7 @@
 //
 // core.TestToldEndIsStored has the messages that led to it.
 
-// TestCancelledChains plays the days of the scenario that lost an end, and some others.
+// TestCancelledChains plays the days of the scenario that lost an end, and one that did not.
 func TestCancelledChains(t *testing.T) {
 	for _, seed := range []uint64{1, 3, 16, 24, 35} {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
