--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
 # Both machines of a small deployment stop, and then users submit work that needs no GPU.
 # With TROUBLE=0 the machines go on. See claim.txt.
+# What was sent, answered and run is written to record.txt.
 cd "$(dirname "$0")/../.." || exit 2
 . review/play.sh
+record=review/1/record.txt
 scenario='name: "both machines stop"
 seed: 1
 length_s: 112
@@ -26,5 +28,5 @@
 if [ "${TROUBLE:-1}" = 0 ]; then
   scenario=$(grep -v '^fault' <<<"$scenario")
 fi
-play review/1 nothing_ran "$scenario"
+play "$record" nothing_ran "$scenario"
 exit $?
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
 # Short single tasks are submitted behind a gang that needs four machines, of which three
 # have a service; the fourth is idle. With TROUBLE=0 there is no gang. See claim.txt.
+# What was sent, answered and run is written to record.txt.
 cd "$(dirname "$0")/../.." || exit 2
 . review/play.sh
+record=review/2/record.txt
 scenario='name: "short work behind a gang"
 seed: 1
 length_s: 110
@@ -30,5 +32,5 @@
 if [ "${TROUBLE:-1}" = 0 ]; then
   scenario=$(grep -v '"fit-region"' <<<"$scenario")
 fi
-play review/2 left_waiting "$scenario"
+play "$record" left_waiting "$scenario"
 exit $?
--- a/review/play.sh
+++ b/review/play.sh
@@ -1,5 +1,5 @@
-# play FOLDER RULE SCENARIO plays a scenario of the project's emulator on loopback and the
-# real clock, with the controllers as processes of their own. It writes FOLDER/record.txt
+# play RECORD RULE SCENARIO plays a scenario of the project's emulator on loopback and the
+# real clock, with the controllers as processes of their own. It writes the file RECORD
 # and returns 1 if the emulator's checker found RULE broken, 0 if the rule held, and 2 if
 # the case could not run. To be sourced by the scripts of the cases.
 
@@ -18,7 +18,7 @@
 }
 
 play() {
-  local folder=$1 rule=$2 scenario=$3 dir base group=
+  local record=$1 rule=$2 scenario=$3 dir base group=
   [ -x target/zinclb ] && [ -x target/zinclb-emulator ] || return 2
   base=$(free_base) || return 2
   dir=$(mktemp -d) || return 2
@@ -41,7 +41,7 @@
     echo "# What was sent (sent), answered (told) and run (given: the machine has the task;"
     echo "# entered: it has its image; started, left, completed), times in microseconds:"
     grep -v '"kind":"stored"' "$dir/history"
-  } >"$folder/record.txt" 2>/dev/null
+  } >"$record" 2>/dev/null
   # It has to have come to its end, and the users' jobs to have been accepted.
   if kill -0 "$group" 2>/dev/null || ! grep -q '"op":"submit".*"status":201' "$dir/history"; then
     return 2
