--- a/review/standin2/twice.go
+++ b/review/standin2/twice.go
@@ -17,14 +17,14 @@
 		return err
 	}
 	time.Sleep(4 * time.Second)
-	for round := range 8 {
+	for round := range 9 {
 		array := job(fmt.Sprintf("req-%06d", 1+round), "meter-sweep", "flue", 364)
-		array.run = runsFor(3 * time.Second)
+		array.run = runsFor(2 * time.Second)
 		go w.submit(array, round)
-		for i := range 6 {
-			time.Sleep(2 * time.Second)
+		for i := range 16 {
+			time.Sleep(600 * time.Millisecond)
 			if trouble {
-				go w.urgentThenCancelled(100+10*round+i, i)
+				go w.urgentThenCancelled(100+16*round+i, i)
 			}
 			if len(w.record.violations()) > 0 {
 				return nil
@@ -44,6 +44,6 @@
 	if !w.submit(urgent, first) {
 		return
 	}
-	time.Sleep(400 * time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
 	w.cancel(urgent.ID, first)
 }
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -261,7 +261,8 @@
 		nodes := w.world.controllers
 		node := nodes[w.at%len(nodes)]
 		if len(body) > maxBody {
-			w.world.record.add(fmt.Sprintf("%s: its report has %d bytes, more than a request may have", w.name, len(body)))
+			w.world.record.add(fmt.Sprintf("%s: cannot report, as its report has %d bytes, more than a request may have", w.name, len(body)))
+			return false
 		}
 		response, err := w.calls.Post("http://"+node.front+"/agent/beat", "application/json", bytes.NewReader(body))
 		if err != nil {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -181,8 +182,24 @@
 	return -1
 }
 
+// Ports of listeners: below those that the system gives to outgoing connections.
+const (
+	firstPort = 20_000
+	ports     = 10_000
+)
+
 // listen returns a listener on a free port of the loopback interface.
-func listen() (net.Listener, error) { return net.Listen("tcp4", "127.0.0.1:0") }
+func listen() (net.Listener, error) {
+	var listener net.Listener
+	err := fmt.Errorf("no free port")
+	for range 100 {
+		listener, err = net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err == nil {
+			return listener, nil
+		}
+	}
+	return nil, err
+}
 
 // serve serves a handler on a free port and returns its address.
 func serve(handler http.Handler) (string, error) {
