--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -64,6 +64,25 @@
 	return s
 }
 
+// fishSettings returns the settings of the deployment akuakultur-maya.
+func fishSettings() settings {
+	s := settings{Size: 3, Zones: []string{"ipoh", "seremban", "kota-bharu"}, Objectives: []object{}, ClockErrorMS: 25}
+	s.Teams = []team{{Name: "ikan"}, {Name: "kolam"}}
+	s.Workers.ReportS, s.Workers.LeaseS, s.Workers.GangWaitS, s.Workers.GangPeerS, s.Workers.CancelS = 8, 34, 40, 4, 59
+	s.State = stateLimits{RPS: 200, WriteRPS: 50, ValueKB: 16, TxnOps: 20}
+	s.Cloud.RPS, s.Cloud.ListLagS = 6, 4
+	s.Resources.CoreShare, s.Resources.MemMB, s.Resources.Sockets = 0.48, 342, 2500
+	return s
+}
+
+// use takes the settings of a deployment.
+func (w *world) use(s settings) {
+	w.settings, w.state.limits, w.cloud.rps = s, s.State, s.Cloud.RPS
+}
+
+// tambak is the machine type of akuakultur-maya.
+var tambak = machineType{"jentera-tambak", 48, 4, 192, 200, 1, 11.6, 4.93, 45, []string{"ipoh", "seremban", "kota-bharu"}}
+
 // Machine types of mphco-boiler.
 var (
 	valve    = machineType{"valve", 8, 0, 16, 70, 0.5, 0.41, 0.14, 35, []string{"coventry", "leicester", "derby", "walsall"}}
@@ -106,7 +125,7 @@
 		record: &recorder{file: file, started: time.Now()},
 		jobs:   map[string]*jobSpec{}, on: map[string][]string{}, done: map[string]bool{},
 	}
-	w.cloud = &cloudService{started: time.Now(), rps: s.Cloud.RPS, record: w.record, types: []machineType{valve, manifold, heatpump}}
+	w.cloud = &cloudService{started: time.Now(), rps: s.Cloud.RPS, record: w.record, types: []machineType{valve, manifold, heatpump, tambak}}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	result := make(chan error, 1)
--- a/review/standin2/order.go
+++ b/review/standin2/order.go
@@ -3,41 +3,45 @@
 import (
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 )
 
 func init() { cases["order"] = playOrder }
 
-// playOrder submits bursts of jobs, and polls each accepted one at all controllers. With the
-// trouble, the news of a watch are ordered by key, as in the example of PROTOCOL.
+// playOrder submits jobs all the time, and polls each accepted one at all controllers. The news
+// of a watch come newest first, as in the example of PROTOCOL. With the trouble, the state
+// service answers slowly for ten seconds, six times.
 func playOrder(w *world, trouble bool) error {
-	w.state.newsByKey = trouble
-	if err := w.addMachines(6, manifold, "coventry", false); err != nil {
+	w.use(fishSettings())
+	w.state.newestFirst = true
+	if err := w.addMachines(30, tambak, "ipoh", false); err != nil {
 		return err
 	}
 	if err := w.begin(); err != nil {
 		return err
 	}
-	time.Sleep(8 * time.Second) // the leader has been elected, and the others read from it
-	for burst := range 5 {
-		var users sync.WaitGroup
-		for i := range 6 {
-			j := job(fmt.Sprintf("req-%06d", 100*burst+i), "meter-sweep", "flue", 2)
-			j.run = runsFor(2 * time.Second)
-			users.Go(func() { w.followJob(j, i) })
+	time.Sleep(6 * time.Second)
+	for i := range 84 {
+		w.state.setSlow(trouble && i%14 >= 4)
+		for k := range 8 {
+			j := job(fmt.Sprintf("req-%06d", 10*i+k), "imbas-kolam", "kolam", 1)
+			j.run = runsFor(8 * time.Second)
+			go w.followJob(j, i+k)
+		}
+		time.Sleep(time.Second)
+		if len(w.record.violations()) > 0 {
+			return nil
 		}
-		users.Wait()
 	}
 	return nil
 }
 
-// followJob submits a job and polls it until it is done, for 12 seconds at most.
+// followJob submits a job and polls it at all controllers until it is done.
 func (w *world) followJob(j *jobSpec, first int) {
 	if !w.submit(j, first) {
 		return
 	}
-	for until := time.Now().Add(12 * time.Second); time.Now().Before(until); time.Sleep(time.Second) {
+	for until := time.Now().Add(30 * time.Second); time.Now().Before(until) && !w.ended(); time.Sleep(2 * time.Second) {
 		finished := 0
 		for _, c := range w.controllers {
 			r := w.poll(j.ID, c)
--- a/review/standin2/state.go
+++ b/review/standin2/state.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -51,11 +53,10 @@
 	calls     bucket
 	writes    bucket
 	limits    stateLimits
-	// latency is the time that an answer takes.
-	latency time.Duration
-	// newsByKey orders the news of a watch by key, as in the example of PROTOCOL,
-	// and not by stamp.
-	newsByKey bool
+	// slow makes answers take slowFactor times as long.
+	slow bool
+	// newestFirst puts the newest news of a watch first, as in the example of PROTOCOL.
+	newestFirst bool
 	// refused has the controllers that get 503.
 	refused map[string]bool
 	// onPut, if set, is called with each key that is put.
@@ -105,11 +106,32 @@
 		leases:  map[uint64]*tenure{},
 		changed: make(chan struct{}),
 		limits:  limits,
-		latency: 4 * time.Millisecond,
 		refused: map[string]bool{},
 	}
 }
 
+// normalLatency is the mean time of an answer without a trouble.
+const normalLatency = 5 * time.Millisecond
+
+// slowFactor is how many times as long an answer takes while the service is slow.
+const slowFactor = 20
+
+// nextLatency returns the time that the next answer takes, under 10 ms if it is not slow.
+func (s *stateService) nextLatency() time.Duration {
+	latency := time.Duration(float64(normalLatency) * (0.5 + rand.Float64()))
+	if s.slow {
+		latency *= slowFactor
+	}
+	return latency
+}
+
+// setSlow makes the service slow, or ends that.
+func (s *stateService) setSlow(slow bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = slow
+}
+
 // handler returns the HTTP handler for the requests of one controller.
 func (s *stateService) handler(controller string) http.Handler {
 	mux := http.NewServeMux()
@@ -121,7 +143,7 @@
 	mux.HandleFunc("/watch", func(w http.ResponseWriter, r *http.Request) { s.watch(w, r, controller) })
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		latency, refused := s.latency, s.refused[controller]
+		latency, refused := s.nextLatency(), s.refused[controller]
 		within := s.calls.take(1, s.limits.RPS)
 		s.mu.Unlock()
 		time.Sleep(latency)
@@ -379,9 +401,8 @@
 			list = append(list, change)
 		}
 	}
-	if s.newsByKey {
-		// Several changes of one key stay in their order.
-		slices.SortStableFunc(list, func(a, b news) int { return strings.Compare(a.key(), b.key()) })
+	if s.newestFirst {
+		slices.SortStableFunc(list, func(a, b news) int { return cmp.Compare(b.Stamp, a.Stamp) })
 	}
 	return list
 }
