--- a/review/standin2/order.go
+++ b/review/standin2/order.go
@@ -10,7 +10,7 @@
 
 // playOrder submits jobs all the time, and polls each accepted one at all controllers. The news
 // of a watch come newest first, as in the example of PROTOCOL. With the trouble, the state
-// service answers slowly for ten seconds, six times.
+// service answers slowly for four seconds out of six.
 func playOrder(w *world, trouble bool) error {
 	w.use(fishSettings())
 	w.state.newestFirst = true
@@ -21,14 +21,14 @@
 		return err
 	}
 	time.Sleep(6 * time.Second)
-	for i := range 84 {
-		w.state.setSlow(trouble && i%14 >= 4)
-		for k := range 8 {
-			j := job(fmt.Sprintf("req-%06d", 10*i+k), "imbas-kolam", "kolam", 1)
+	for i := range 40 {
+		w.state.setSlow(trouble && i%3 != 0)
+		for k := range 20 {
+			j := job(fmt.Sprintf("req-%06d", 20*i+k), "imbas-kolam", "kolam", 1)
 			j.run = runsFor(8 * time.Second)
 			go w.followJob(j, i+k)
 		}
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second)
 		if len(w.record.violations()) > 0 {
 			return nil
 		}
--- a/review/standin2/state.go
+++ b/review/standin2/state.go
@@ -111,7 +111,7 @@
 }
 
 // normalLatency is the mean time of an answer without a trouble.
-const normalLatency = 5 * time.Millisecond
+const normalLatency = 4 * time.Millisecond
 
 // slowFactor is how many times as long an answer takes while the service is slow.
 const slowFactor = 20
