--- a/review/standin2/cloud.go
+++ b/review/standin2/cloud.go
@@ -64,7 +64,7 @@
 		if m.name > r.URL.Query().Get("after") && !m.isGone() {
 			rows = append(rows, object{
 				"name_id": m.name, "endpoint": m.addr, "breed": m.kind.Label, "paddock": m.zone,
-				"borrowed": m.spot, "status": "running", "held_s": 300 + time.Since(c.started).Seconds(),
+				"borrowed": false, "status": "running", "held_s": 300 + time.Since(c.started).Seconds(),
 			})
 		}
 	}
--- a/review/standin2/lines.go
+++ b/review/standin2/lines.go
@@ -11,7 +11,7 @@
 // playLines runs a job of another team, a task on each machine, and then submits an array of
 // small tasks. With the trouble it has 6,000 of them, otherwise 300.
 func playLines(w *world, trouble bool) error {
-	if err := w.addMachines(2, manifold, "coventry", false); err != nil {
+	if err := w.addMachines(2, manifold, "coventry"); err != nil {
 		return err
 	}
 	if err := w.begin(); err != nil {
--- a/review/standin2/memory.go
+++ b/review/standin2/memory.go
@@ -29,7 +29,7 @@
 // playMemory runs an array, and sends a sweep to one controller after the other. The platform
 // ends a controller that is above its memory, and starts it again.
 func playMemory(w *world, trouble bool) error {
-	if err := w.addMachines(2, manifold, "coventry", false); err != nil {
+	if err := w.addMachines(2, manifold, "coventry"); err != nil {
 		return err
 	}
 	if err := w.begin(); err != nil {
--- a/review/standin2/order.go
+++ b/review/standin2/order.go
@@ -14,7 +14,7 @@
 func playOrder(w *world, trouble bool) error {
 	w.use(fishSettings())
 	w.state.newestFirst = true
-	if err := w.addMachines(30, tambak, "ipoh", false); err != nil {
+	if err := w.addMachines(30, tambak, "ipoh"); err != nil {
 		return err
 	}
 	if err := w.begin(); err != nil {
--- a/review/standin2/twice.go
+++ b/review/standin2/twice.go
@@ -10,7 +10,7 @@
 // playTwice runs arrays that take all machines. With the trouble, urgent work comes several
 // times as often: tasks of the arrays are stopped for it, and it is cancelled again.
 func playTwice(w *world, trouble bool) error {
-	if err := w.addMachines(12, manifold, "coventry", false); err != nil {
+	if err := w.addMachines(12, manifold, "coventry"); err != nil {
 		return err
 	}
 	if err := w.begin(); err != nil {
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -47,7 +46,6 @@
 	addr  string
 	kind  machineType
 	zone  string
-	spot  bool
 
 	mu     sync.Mutex
 	shift  uint64
@@ -62,7 +60,6 @@
 	at    int
 	wake  chan struct{}
 	calls *http.Client
-	serve net.Listener
 }
 
 // isGone reports whether the machine was released.
@@ -214,7 +211,7 @@
 		listed[h.Hand] = true
 	}
 	return encode(object{
-		"stoker": w.name, "endpoint": w.addr, "breed": w.kind.Label, "paddock": w.zone, "borrowed": w.spot,
+		"stoker": w.name, "endpoint": w.addr, "breed": w.kind.Label, "paddock": w.zone, "borrowed": false,
 		"shift": w.shift, "tally": w.tally, "baton": w.baton, "recall_s": nil, "hands": hands,
 	})
 }
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -100,7 +100,6 @@
 	record      *recorder
 	program     []string
 	dir         string
-	failed      chan string
 
 	mu   sync.Mutex
 	jobs map[string]*jobSpec
@@ -355,11 +354,11 @@
 	}
 }
 
-// addMachines adds machines that are up from the start.
-func (w *world) addMachines(count int, kind machineType, zone string, spot bool) error {
+// addMachines adds on-demand machines that are up from the start.
+func (w *world) addMachines(count int, kind machineType, zone string) error {
 	for range count {
 		m := &worker{
-			world: w, name: fmt.Sprintf("host-%06d", len(w.cloud.machines)+1), kind: kind, zone: zone, spot: spot,
+			world: w, name: fmt.Sprintf("host-%06d", len(w.cloud.machines)+1), kind: kind, zone: zone,
 			shift: 1, images: map[string]bool{}, leaseFrom: time.Now(), wake: make(chan struct{}, 1),
 			calls: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
 			at:    len(w.cloud.machines),
