--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -247,26 +247,33 @@
 	return nil, fmt.Errorf("deploy/service.toml has no run command")
 }
 
+// label returns the name of a controller.
+func label(number int) string { return fmt.Sprintf("stoker-%d", number) }
+
 // startControllers writes the settings of the controllers and starts them.
 func (w *world) startControllers() error {
-	addresses, err := freeAddresses(2 * w.settings.Size)
-	if err != nil {
-		return err
-	}
 	cloud, err := serve(w.cloud.handler())
 	if err != nil {
 		return err
 	}
+	var states []string
 	for i := range w.settings.Size {
-		label := fmt.Sprintf("stoker-%d", i)
-		state, err := serve(w.state.handler(label))
+		state, err := serve(w.state.handler(label(i)))
 		if err != nil {
 			return err
 		}
+		states = append(states, state)
+	}
+	// These come last, so that no listener of the stand-ins takes a port that is free now.
+	addresses, err := freeAddresses(2 * w.settings.Size)
+	if err != nil {
+		return err
+	}
+	for i := range w.settings.Size {
 		w.controllers = append(w.controllers, &controller{
-			label: label, zone: w.settings.Zones[i%len(w.settings.Zones)],
-			front: addresses[2*i], back: addresses[2*i+1], state: state,
-			config: filepath.Join(w.dir, label+".json"),
+			label: label(i), zone: w.settings.Zones[i%len(w.settings.Zones)],
+			front: addresses[2*i], back: addresses[2*i+1], state: states[i],
+			config: filepath.Join(w.dir, label(i)+".json"),
 		})
 	}
 	for _, c := range w.controllers {
