State cache: changes are put in order as an answer comes in, so no follower misses any

Cause: the leader's log of changes for followers relied on an order that the protocol does not promise. It kept changes as the watch listed them, and ChangeLog.Since goes back from the end to the first change that the follower has. A follower whose revision is in the middle of one answer was not sent the newer changes and took the leader's revision all the same.

Fix: stateCache.onStateRead, which every read and watch passes through, sorts the changes by revision and key (kv.InOrder) before anything else sees them. The same cause could apply an older value of a key last, the leadership key for one. A follower takes no answer of a leader of an earlier version, which does not set View.Ordered, and reads the state service itself. zinclb_reads_reordered_total and a debug line say what was not told.

TestStaleFollowerReads tampers with answers of a leader of this version, so its answers set Ordered too. The recorded status, metrics and messages have the new field; the shape test of messages leaves fields out that the base version does not have.

--- a/internal/api/recorded_test.go
+++ b/internal/api/recorded_test.go
@@ -29,7 +29,7 @@
 func operatorViewWithAllFields() *core.OperatorView {
 	return &core.OperatorView{
 		Controller: "node-0", Leader: "node-1", FencingToken: 7, Leading: true, Synced: true, Revision: 901, StateAgeS: 0.25,
-		WritesLeft: 12.5, ReadsLeft: 30.5, ReadsBy: "node-2", CallsLeft: 2.75,
+		WritesLeft: 12.5, ReadsLeft: 30.5, ReadsBy: "node-2", ReorderedReads: 3, CallsLeft: 2.75,
 		Peers:      []core.PeerView{{Name: "node-1", Up: true}, {Name: "node-2", Up: true}},
 		Partitions: []core.PartitionView{{Holder: "node-0", Ends: 2147483648, Machines: 11}, {Holder: "node-1", Ends: 4294967295, Machines: 12}},
 		Queues: []core.QueueView{
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -35,6 +35,8 @@
 	// keys is the stored state, revision its newest revision.
 	keys     map[string]Change
 	revision uint64
+	// orders draws the order of the changes in a read.
+	orders *rand.Rand
 
 	// replies are the core's replies by request ID.
 	replies     map[uint64]Reply
@@ -72,6 +74,7 @@
 		t:           t,
 		now:         second,
 		keys:        map[string]Change{},
+		orders:      rand.New(rand.NewPCG(1, 2)),
 		replies:     map[uint64]Reply{},
 		maxValue:    8192,
 		maxOps:      12,
@@ -183,7 +186,7 @@
 	h.step(KeyRead{ID: read.ID, Key: read.Key, Value: stored.Value, Revision: stored.Revision})
 }
 
-// readState answers a watch or a read with all changes after its revision.
+// readState answers a watch or a read with all changes after its revision, in a random order.
 func (h *harness) readState(read StateRead) {
 	read.Revision = h.revision
 	for _, change := range h.keys {
@@ -194,6 +197,7 @@
 	slices.SortFunc(read.Changes, func(a, b Change) int {
 		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
 	})
+	h.orders.Shuffle(len(read.Changes), func(i, j int) { read.Changes[i], read.Changes[j] = read.Changes[j], read.Changes[i] })
 	h.step(read)
 }
 
--- a/internal/core/kv/kv.go
+++ b/internal/core/kv/kv.go
@@ -2,6 +2,11 @@
 // service as controllers use them.
 package kv
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Condition requires a key to have a revision, where 0 means that the key is absent.
 type Condition struct {
 	Key      string
@@ -24,6 +29,22 @@
 	Removed  bool
 }
 
+// InOrder returns the changes in the order of their revisions, and those of one transaction, which
+// have the same revision, in the order of their keys. reordered reports whether they were in another
+// order; InOrder then returns a copy and leaves its argument unchanged.
+func InOrder(changes []Change) (ordered []Change, reordered bool) {
+	if slices.IsSortedFunc(changes, compareChanges) {
+		return changes, false
+	}
+	ordered = slices.Clone(changes)
+	slices.SortStableFunc(ordered, compareChanges)
+	return ordered, true
+}
+
+func compareChanges(a, b Change) int {
+	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+}
+
 // RevisionIs returns the condition that a key has a revision, 0 for absent.
 func RevisionIs(key string, revision uint64) Condition {
 	return Condition{Key: key, Revision: revision}
--- a/internal/core/operatorview.go
+++ b/internal/core/operatorview.go
@@ -17,14 +17,17 @@
 	WritesLeft   float64 `json:"writes_left"`
 	// ReadsLeft is the remaining budget of this controller's share of reads. ReadsBy is the
 	// controller from which it reads the state, "" if it reads from the state service.
-	ReadsLeft  float64         `json:"reads_left"`
-	ReadsBy    string          `json:"reads_by"`
-	CallsLeft  float64         `json:"cloud_calls_left"`
-	Peers      []PeerView      `json:"peers"`
-	Partitions []PartitionView `json:"partitions"`
-	Queues     []QueueView     `json:"queues,omitempty"`
-	Machines   MachinesView    `json:"machines"`
-	Jobs       int             `json:"unfinished_jobs"`
+	ReadsLeft float64 `json:"reads_left"`
+	ReadsBy   string  `json:"reads_by"`
+	// ReorderedReads counts, since this controller's start, the answers with changes of the
+	// stored state that did not list these in the order in which they were made.
+	ReorderedReads uint64          `json:"reordered_reads"`
+	CallsLeft      float64         `json:"cloud_calls_left"`
+	Peers          []PeerView      `json:"peers"`
+	Partitions     []PartitionView `json:"partitions"`
+	Queues         []QueueView     `json:"queues,omitempty"`
+	Machines       MachinesView    `json:"machines"`
+	Jobs           int             `json:"unfinished_jobs"`
 	// AnswersForS is the time for which a leader may still answer workers without newer proof
 	// of its authority, in seconds; it is negative if that time has passed.
 	AnswersForS float64 `json:"answers_for_s,omitempty"`
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -107,6 +107,16 @@
 	Revision uint64
 	Changes  []kv.Change
 	Granted  int
+	// Ordered reports whether the leader keeps its log of changes in the order of their
+	// revisions. A leader of an earlier version does not set it. Its log has the order in which
+	// the state service listed the changes, so some may be missing from Changes.
+	Ordered bool
+}
+
+// AnswersRead reports whether the view is a complete answer to a read of the changes after a
+// revision.
+func (v *View) AnswersRead(after uint64) bool {
+	return v != nil && v.Ordered && v.Revision >= after
 }
 
 const (
@@ -131,7 +141,7 @@
 func (l *ChangeLog) Reset(from uint64) { *l = ChangeLog{startRevision: from} }
 
 // Append adds a change, which must be newer than all others or belong to the newest
-// transaction.
+// transaction: Since and the removal of the oldest changes rely on rising revisions.
 func (l *ChangeLog) Append(c kv.Change) {
 	l.changes = append(l.changes, c)
 	l.bytes += size(c)
--- a/internal/core/statecache.go
+++ b/internal/core/statecache.go
@@ -10,6 +10,7 @@
 	"github.com/zinclb/zinclb/internal/config"
 	"github.com/zinclb/zinclb/internal/core/fleet"
 	"github.com/zinclb/zinclb/internal/core/jobstate"
+	"github.com/zinclb/zinclb/internal/core/kv"
 	"github.com/zinclb/zinclb/internal/core/ratelimit"
 )
 
@@ -54,6 +55,8 @@
 	listingState    bool
 	appliedRevision uint64
 	freshAt         int64
+	// reorderedReads counts the answers whose changes were not in order.
+	reorderedReads uint64
 
 	// jobs are the unfinished jobs and those whose keys have yet to be removed, by ID.
 	// progressLog has the pages of the log of their progress, ordered by number.
@@ -185,8 +188,17 @@
 	s.sweepManager.reset()
 }
 
-// onStateRead applies the result of a watch or a read.
+// onStateRead applies the result of a watch or a read, from the state service or from the leader.
+//
+// The protocol sets no order for the changes in one answer, so they are put in the order in which
+// they were made here, before anything else sees them. A key that has changed twice must end with
+// its newest value, and the log of changes for followers relies on rising revisions. The keys of
+// one transaction are sorted, so that the result does not depend on how the service lists them.
 func (s *stateCache) onStateRead(m StateRead) {
+	var reordered bool
+	if m.Changes, reordered = kv.InOrder(m.Changes); reordered {
+		s.reorderedReads++
+	}
 	s.recordRead(&m)
 	switch {
 	case m.Compacted && s.elector.isLeader():
--- a/internal/core/statereader.go
+++ b/internal/core/statereader.go
@@ -57,15 +57,21 @@
 		r.emit(retryLaterReply(req.id, 1, "this controller does not lead, or has forgotten the revision"))
 		return
 	}
-	granted := r.health.grantWrites(req.followerRead.writesNeeded)
-	r.emit(Reply{RequestID: req.id, Status: ReplyOK, View: &replica.View{Revision: r.cache.appliedRevision, Changes: changes, Granted: granted}})
+	r.log.Debug("follower read answered", "after_revision", req.followerRead.revision,
+		"revision", r.cache.appliedRevision, "count", len(changes))
+	r.emit(Reply{RequestID: req.id, Status: ReplyOK, View: &replica.View{
+		Revision: r.cache.appliedRevision,
+		Changes:  changes,
+		Granted:  r.health.grantWrites(req.followerRead.writesNeeded),
+		Ordered:  true,
+	}})
 }
 
 // onLeaderReadDone handles the leader's answer. Without a usable answer, the state is read from
 // the state service instead, for the same requests.
 func (r *stateReader) onLeaderReadDone(m LeaderReadDone) {
 	view := m.Answer.View
-	ok := m.Err == nil && m.Answer.Status == ReplyOK && view != nil && view.Revision >= m.AfterRevision
+	ok := m.Err == nil && m.Answer.Status == ReplyOK && view.AnswersRead(m.AfterRevision)
 	if !r.follower.EndRequest(m.Number, ok, r.now) {
 		return // late or duplicate: the writes it grants may have been used
 	}
--- a/internal/emulator/environment/cloud.go
+++ b/internal/emulator/environment/cloud.go
@@ -123,7 +123,7 @@
 func (c *cloud) execute(req any) (int, any) {
 	switch q := req.(type) {
 	case wire.Types:
-		types := slices.Clone(c.env.Types)
+		types := inAnyOrder(c.env, c.env.Types)
 		for i := range types {
 			types[i].SpotPrice = c.price(&types[i], true)
 		}
@@ -217,6 +217,7 @@
 		}
 		names[i] = c.createMachine(machineType, request.Zone, request.Spot, boot).name
 	}
+	names = inAnyOrder(c.env, names)
 	c.rentRequests[request.Request] = names
 	return 200, wire.MachineNames{Machines: names}
 }
--- a/internal/emulator/environment/environment.go
+++ b/internal/emulator/environment/environment.go
@@ -163,6 +163,7 @@
 	Config
 	now         int64
 	rng         *rand.Rand
+	orders      *rand.Rand // for inAnyOrder
 	timers      Timers
 	outbox      []any
 	nextID      uint64
@@ -230,7 +231,7 @@
 // newEnvironment returns an environment with the network, the controllers and the cloud, but
 // without the state service, the load balancer, machines, jobs and faults.
 func newEnvironment(c Config, record func(history.Event)) *Environment {
-	env := &Environment{Config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), pendingAsks: map[uint64]*pendingAsk{}, gangs: map[gangKey]*gang{}, jobs: map[string]*jobUser{}, Record: record}
+	env := &Environment{Config: c, rng: rand.New(rand.NewPCG(c.Seed, 1)), orders: newOrderSource(c.Seed), pendingAsks: map[uint64]*pendingAsk{}, gangs: map[gangKey]*gang{}, jobs: map[string]*jobUser{}, Record: record}
 	env.network = newNetwork(env)
 	for i := range c.Params.Size {
 		added := &controller{name: ControllerName(i), zone: c.Params.Zones[i%len(c.Params.Zones)]}
--- a/internal/emulator/environment/machine.go
+++ b/internal/emulator/environment/machine.go
@@ -160,7 +160,7 @@
 		notice := float64(max(m.reclaimAt-m.env.now, 0)) / 1e6
 		report.NoticeS = &notice
 	}
-	for i, t := range m.tasks {
+	for i, t := range inAnyOrder(m.env, m.tasks) {
 		report.Tasks[i] = t.report()
 	}
 	return report
--- a/internal/emulator/environment/state_service.go
+++ b/internal/emulator/environment/state_service.go
@@ -332,7 +332,7 @@
 		}
 	}
 	if failed != nil {
-		return http.StatusConflict, wire.TransactionAnswer{Revision: s.revision, Failed: failed}
+		return http.StatusConflict, wire.TransactionAnswer{Revision: s.revision, Failed: inAnyOrder(s.env, failed)}
 	}
 	if len(transaction.Writes) > 0 {
 		s.revision++
@@ -407,7 +407,7 @@
 		if changes == nil {
 			changes = []wire.Change{}
 		}
-		w.answer(200, wire.WatchAnswer{Revision: s.revision, Changes: changes})
+		w.answer(200, wire.WatchAnswer{Revision: s.revision, Changes: inAnyOrder(s.env, changes)})
 	default:
 		return
 	}
--- a/internal/emulator/faketime/follower_reads_test.go
+++ b/internal/emulator/faketime/follower_reads_test.go
@@ -205,7 +205,7 @@
 // controller became the leader.
 func TestStaleFollowerReads(t *testing.T) {
 	stale := func(read *core.LeaderReadDone) {
-		read.Err, read.Answer = nil, core.Reply{Status: 200, View: &replica.View{Revision: read.AfterRevision}}
+		read.Err, read.Answer = nil, core.Reply{Status: 200, View: &replica.View{Revision: read.AfterRevision, Ordered: true}}
 	}
 	cases := []struct {
 		name string
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -104,6 +104,7 @@
 	s.flag("state_limits_fallen", "1 if the state service's limits to come are here.", view.LimitsLowered)
 	s.gauge("writes_left", "Changes that its budget has left at this moment.", view.WritesLeft)
 	s.gauge("reads_left", "Reads of the state service that its budget has left at this moment.", view.ReadsLeft)
+	s.counter("reads_reordered_total", "Reads and watches of stored state that did not list changes in the order of their revisions.", view.ReorderedReads)
 	s.gauge("format", "Version of stored data.", float64(view.Format))
 	s.gauge("unfinished_jobs", "Accepted jobs that are not over.", float64(view.Jobs))
 	s.gauge("awaiting_jobs", "Unfinished jobs that wait for others to be done.", float64(view.Awaiting))
--- a/internal/peer/complete_test.go
+++ b/internal/peer/complete_test.go
@@ -107,7 +107,7 @@
 var neverSent = map[string]bool{"PingReceived.RequestID": true, "HeartbeatReceived.RequestID": true, "Reply.Ops": true}
 
 // TestCoreFieldsComplete checks that each field of the core's message types, at any depth,
-// is set in at least one of the complete messages.
+// is set in at least one of the complete messages, or in a message recorded when it was added.
 func TestCoreFieldsComplete(t *testing.T) {
 	roots := []any{
 		core.PingReceived{},
@@ -125,21 +125,25 @@
 		core.CancelSweep{},
 	}
 	var messages []any
-	for _, message := range completeMessages() {
-		messages = append(messages, message)
+	for _, recorded := range []map[string]any{completeMessages(), messagesOrderedView()} {
+		for _, message := range recorded {
+			messages = append(messages, message)
+		}
 	}
 	testComplete(t, roots, messages)
 }
 
 // TestWireFieldsComplete checks that each field of the wire types is set in at least one
-// of the complete messages as encoded by the base version. A renamed field would stay
-// zero.
+// of the complete messages as encoded by the base version, or, if it was added later, in a
+// message recorded at that time. A renamed field would stay zero.
 func TestWireFieldsComplete(t *testing.T) {
 	roots := []any{wire.PingArgs{}, wire.PingReply{}, wire.BeatArgs{}, wire.AskArgs{}, wire.Reply{}}
-	raws := readRecording(t, baseRecording)
 	var messages []any
-	for name, message := range completeMessages() {
-		messages = append(messages, decoded(t, raws[name], reflect.TypeOf(toWire(t, message))))
+	for recording, sent := range map[string]map[string]any{baseRecording: completeMessages(), orderedRecording: messagesOrderedView()} {
+		raws := readRecording(t, recording)
+		for name, message := range sent {
+			messages = append(messages, decoded(t, raws[name], reflect.TypeOf(toWire(t, message))))
+		}
 	}
 	testComplete(t, roots, messages)
 }
--- a/internal/peer/internal/wire/reply.go
+++ b/internal/peer/internal/wire/reply.go
@@ -207,6 +207,7 @@
 		Ledger:  in.Revision,
 		Changes: convertAll(in.Changes, newChange),
 		Granted: in.Granted,
+		Ordered: in.Ordered,
 	}
 }
 
@@ -215,6 +216,7 @@
 		Revision: in.Ledger,
 		Changes:  convertAll(in.Changes, Change.core),
 		Granted:  in.Granted,
+		Ordered:  in.Ordered,
 	}
 }
 
--- a/internal/peer/internal/wire/wire.go
+++ b/internal/peer/internal/wire/wire.go
@@ -384,6 +384,8 @@
 	Changes []Change
 	// Granted is the number of writes that the follower may make on the leader's budget.
 	Granted int
+	// Ordered is set by a leader whose log of changes is in the order of their revisions.
+	Ordered bool
 }
 
 // Change is the new value of a key at revision Stamp, or its removal.
--- a/internal/peer/recorded_test.go
+++ b/internal/peer/recorded_test.go
@@ -26,6 +26,10 @@
 // as encoded by the last version that sent the core's own types.
 const baseRecording = "wire_63ef244"
 
+// orderedRecording is the name of the recording that has the fields that were added to the messages
+// after the base version.
+const orderedRecording = "ordered"
+
 // messagesVersion4 returns the requests and responses of each call as sent by version 4.
 func messagesVersion4() map[string]any {
 	return map[string]any{
@@ -85,10 +89,21 @@
 	}
 }
 
+// messagesOrderedView returns the messages that changed when leaders began to keep the changes for
+// followers in the order of their revisions.
+func messagesOrderedView() map[string]any {
+	return map[string]any{
+		"Reply view": core.Reply{RequestID: 1, Status: 200, View: &replica.View{
+			Revision: 9, Granted: 2, Ordered: true,
+			Changes: []core.Change{{Key: "zinclb/job/a", Value: []byte("{}"), Revision: 8}, {Key: "zinclb/job/b", Revision: 9, Removed: true}},
+		}},
+	}
+}
+
 // recordings returns the expected messages of each recording. Its keys are the names of
 // the files that have the messages as they were first encoded.
 func recordings() map[string]map[string]any {
-	return map[string]map[string]any{"version4": messagesVersion4(), "vouch": messagesReadLease(), "shared": messagesFollowerRead(), baseRecording: completeMessages()}
+	return map[string]map[string]any{"version4": messagesVersion4(), "vouch": messagesReadLease(), "shared": messagesFollowerRead(), orderedRecording: messagesOrderedView(), baseRecording: completeMessages()}
 }
 
 // TestRecorded decodes messages as recorded from earlier versions and from this one. It
--- a/internal/peer/shape_test.go
+++ b/internal/peer/shape_test.go
@@ -61,6 +61,9 @@
 // unusedFields are fields that earlier versions described but never set.
 var unusedFields = []string{"Ops"}
 
+// addedFields are the fields that were added after the base version, which ignores them.
+var addedFields = []string{"Ordered"}
+
 // shapeOf rebuilds the type from which a message was encoded, by the type descriptions at
 // the start of the message. Structs in structs become pointers, so that a struct that was
 // not sent can be distinguished from an empty one.
@@ -101,7 +104,7 @@
 	case description.StructT != nil:
 		var fields []reflect.StructField
 		for _, field := range description.StructT.Field {
-			if slices.Contains(unusedFields, field.Name) {
+			if slices.Contains(unusedFields, field.Name) || slices.Contains(addedFields, field.Name) {
 				continue
 			}
 			fieldShape := shapeOfID(t, descriptions, field.Id)
@@ -154,7 +157,7 @@
 
 // TestBaseVersionDecodesMessages checks that the last version that sent the core's own
 // types can decode current messages: decoded with that version's names and types, they
-// equal the messages that it sent itself.
+// equal the messages that it sent itself. Fields that were added since are left out.
 func TestBaseVersionDecodesMessages(t *testing.T) {
 	raws := readRecording(t, baseRecording)
 	for name, message := range completeMessages() {
