Reconciliation: a running attempt is found wherever its worker lists it

A placed attempt that was listed before an earlier one, which had exited and could not be forgotten yet, counted as lost.

Fix: placements are compared with the set of all listed attempts.

TestAttemptsInAnyOrder fails before ("stop j/0.3", placed as .4) and passes with it.

--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -191,16 +191,28 @@
 	return commands
 }
 
+// attemptRef identifies an attempt of a task, by the task's name as workers report it.
+type attemptRef struct {
+	task    string
+	attempt uint64
+}
+
+// attempts returns the attempts that the heartbeat lists. It may list several of one task, of which
+// all but one have exited, in any order.
+func (h *Heartbeat) attempts() map[attemptRef]bool {
+	listed := make(map[attemptRef]bool, len(h.Tasks))
+	for k := range h.Tasks {
+		listed[attemptRef{h.Tasks[k].Name, h.Tasks[k].Attempt}] = true
+	}
+	return listed
+}
+
 // findMissing groups the placements that a heartbeat does not list by how they are handled.
 func (w *workerManager) findMissing(machine *fleet.Machine, heartbeat *Heartbeat) (missing missingTasks) {
-	listedAttempts := make(map[string]uint64, len(heartbeat.Tasks))
-	for k := range heartbeat.Tasks {
-		listedAttempts[heartbeat.Tasks[k].Name] = heartbeat.Tasks[k].Attempt
-	}
+	listed := heartbeat.attempts()
 	for ref := range machine.Placed {
 		job, task := ref.Job, ref.Job.Task(ref.Index)
-		name := jobstate.TaskName(job.ID, ref.Index)
-		if attempt, ok := listedAttempts[name]; ok && attempt == uint64(task.Attempt) {
+		if listed[attemptRef{jobstate.TaskName(job.ID, ref.Index), uint64(task.Attempt)}] {
 			continue
 		}
 		switch {
