Machine types: stored parts are numbered by the types' names, not by the cloud's list

What callers could see: a controller that starts while the cloud does not answer lacks a machine type and refuses jobs that need it.

Cause: where the types do not fit one value, part N had the Nth type that the cloud listed, and parts are written one by one. After another order, a leader that ended between two writes left one type in no part.

Fix: parts are numbered in the order of the types' names.

--- a/internal/core/machinetypes.go
+++ b/internal/core/machinetypes.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 
 	"github.com/zinclb/zinclb/internal/core/fleet"
@@ -31,12 +33,15 @@
 	s.elector.leadership.planning.requestRound()
 }
 
-// writeTypes stores the machine types in one value, or in one value per type if they do not fit.
+// writeTypes stores the machine types in one value, or in one value per type if they do not fit. The
+// values are numbered in the order of the types' names, as the cloud lists types in any order. They are
+// written one by one, so a value that got another type would leave that value's earlier type
+// unstored if the leader ended in between.
 func (s *scaler) writeTypes(all []byte) {
 	writes := []Write{{Key: typesKey, Value: all}}
 	if len(all) > s.membership.valueLimit() {
 		writes = writes[:0]
-		for i, t := range s.cache.machineTypes {
+		for i, t := range slices.SortedFunc(slices.Values(s.cache.machineTypes), compareTypeNames) {
 			writes = append(writes, Write{Key: typesKey + "/" + strconv.Itoa(i), Value: encodeJSON([]fleet.Type{t})})
 		}
 	}
@@ -50,3 +55,5 @@
 		})
 	}
 }
+
+func compareTypeNames(a, b fleet.Type) int { return cmp.Compare(a.Name, b.Name) }
