Heartbeats: a start that was executed is not executed again by a late copy

Not seen here outside tests.

Cause: a worker was told to forget an attempt as soon as its exit was stored, while a copy of the answer with its start could still be accepted ("the worker drops responses after 4 s"; after `forget`, "repeating run starts it again"). A task that is missing from a heartbeat right after its start counted as lost, also where its machine had been restarted and the copy was yet to come.

Fix: the leader remembers the starts that it sent to a machine for fleet.AnswerLifetime. Until then an attempt is not forgotten, a missing one is neither lost nor taken for never started, and one that has exited, unless it is done, is not placed again and counts for its team's limit. Answers to an earlier epoch or with an earlier token are dropped by the worker, so nothing waits for those. Direct commands carry no starts.

Tests: the emulator has the fault answer_copies.

--- a/internal/core/delivery.go
+++ b/internal/core/delivery.go
@@ -15,10 +15,6 @@
 // do not receive answers.
 const maxDeliveryProbes = 8
 
-// answerLifetime is the time, in microseconds, after which an answer to a heartbeat can no
-// longer be accepted: the worker stops waiting for it after 4 s.
-const answerLifetime = 4_200_000
-
 // updateDelivery determines from a new heartbeat whether its machine receives answers.
 func (w *workerManager) updateDelivery(machine *fleet.Machine, heartbeat *Heartbeat) {
 	delivery := &machine.Delivery
@@ -135,7 +131,7 @@
 		inDoubt = inDoubt || task.Confirmed || stopSent
 		needed = needed || !task.Confirmed && stopSent
 	}
-	if inDoubt && (!needed || w.now-machine.LastAnswer > answerLifetime) {
+	if inDoubt && (!needed || w.now-machine.LastAnswer > fleet.AnswerLifetime) {
 		w.probe(machine, machine.Addr)
 	}
 	return needed
@@ -184,12 +180,14 @@
 // clearUnlisted clears the placements and the prefetch that a machine with restarted sequence
 // numbers does not list in its answer to a probe that was sent at sentAt.
 func (w *workerManager) clearUnlisted(machine *fleet.Machine, heartbeat *Heartbeat, sentAt int64) {
-	answersExpired := sentAt > machine.LastAnswer+answerLifetime
+	answersExpired := sentAt > machine.LastAnswer+fleet.AnswerLifetime
 	var lost, neverStarted []fleet.TaskRef
 	for ref := range machine.Placed {
 		task := ref.Job.Task(ref.Index)
+		name := jobstate.TaskName(ref.Job.ID, ref.Index)
 		switch {
-		case heartbeat.listsAttempt(jobstate.TaskName(ref.Job.ID, ref.Index), task.Attempt):
+		case heartbeat.listsAttempt(name, task.Attempt):
+		case task.Confirmed && machine.StartMayRepeat(name, uint64(task.Attempt), sentAt):
 		case task.Confirmed:
 			lost = append(lost, ref)
 		case task.IsStopping() && task.StartSent && answersExpired:
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -79,6 +79,8 @@
 	FailedJobs map[string]bool
 	// Delivery tracks whether the machine receives answers.
 	Delivery Delivery
+	// starts are the starts of which copies may still arrive.
+	starts recentStarts
 	// seqRestarted reports whether the machine has restarted its heartbeat sequence
 	// numbers.
 	seqRestarted bool
--- a/internal/core/heartbeat.go
+++ b/internal/core/heartbeat.go
@@ -183,8 +183,11 @@
 	delivery := &machine.Delivery
 	delivery.SentCommands = delivery.SentCommands[:0]
 	for _, command := range commands {
-		if command.Kind == CommandStop {
+		switch command.Kind {
+		case CommandStop:
 			continue // its effect may become visible only after the task's grace period
+		case CommandStart:
+			machine.RecordStart(command.Task, uint64(command.Attempt), w.now)
 		}
 		delivery.SentCommands = append(delivery.SentCommands, fleet.SentCommand{
 			Task:    command.Task,
--- a/internal/core/planner.go
+++ b/internal/core/planner.go
@@ -54,6 +54,8 @@
 	// capacity is the total of the resources of all usable machines.
 	capacity   jobstate.Resources
 	classSizes classSizes
+	// exitedStarts are the attempts that have exited and whose starts may still be repeated.
+	exitedStarts []exitedStart
 	// onDemandNeededAt maps the name of a machine type to the last time at which a job that
 	// needs on-demand machines could have used that type.
 	onDemandNeededAt map[string]int64
--- a/internal/core/prefetch.go
+++ b/internal/core/prefetch.go
@@ -212,6 +212,9 @@
 	switch {
 	case status.State == TaskExited:
 		p.prefetchExited(m, status.Reason)
+		if m.StartMayRepeat(status.Name, status.Attempt, p.now) {
+			return nil
+		}
 		command.Kind = CommandForget
 		return []Command{command}
 	case len(m.Placed) > 0 || m.Draining || m.ReclaimAt != 0:
--- a/internal/core/quota.go
+++ b/internal/core/quota.go
@@ -30,13 +30,14 @@
 	return teamUsage{cpu: u.cpu + need.CPU*tasks, gpu: u.gpu + need.GPU*tasks}
 }
 
-// usage returns the usage of each team: its placements, stored or planned, and the image
-// prefetches for its jobs.
+// usage returns the usage of each team: its placements, stored or planned, the image prefetches
+// for its jobs, and attempts whose starts may still be repeated.
 func (p *planner) usage() map[string]teamUsage {
 	used := maps.Clone(p.elector.leadership.prefetch.usedByTeam)
 	for _, job := range p.cache.jobs {
 		used[job.Team] = used[job.Team].plus(job.Need, int64(job.NumPlaced))
 	}
+	p.elector.leadership.planning.addExitedStarts(used, p.now)
 	return used
 }
 
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -88,11 +88,13 @@
 
 // reconcileExited records the exit of an attempt, and reports whether the worker may forget
 // the attempt. The exit must be stored first: otherwise the stored placement could lead to
-// another start, which would run the task again.
+// another start, which would run the task again. So could a copy of the answer with the start, if it
+// came after the worker has forgotten the attempt.
 func (w *workerManager) reconcileExited(machine *fleet.Machine, listed *listedTask) (forget bool) {
 	job, task := listed.job, listed.task
+	expired := !machine.StartMayRepeat(listed.status.Name, listed.status.Attempt, w.now)
 	if task == nil {
-		return true
+		return expired
 	}
 	if job.Outcome() == "" && listed.status.Reason == ExitDone {
 		w.tasks.taskDone(job, listed.index)
@@ -101,7 +103,7 @@
 		task.Confirmed = true
 		w.tasks.taskExited(machine, job, listed.index, listed.status)
 	}
-	return job.Outcome() != "" || job.IsTaskStored(listed.index)
+	return expired && (job.Outcome() != "" || job.IsTaskStored(listed.index))
 }
 
 // reconcilePlaced records the state of a placed attempt, and requests its stop if its gang
@@ -191,18 +193,12 @@
 	return commands
 }
 
-// attemptRef identifies an attempt of a task, by the task's name as workers report it.
-type attemptRef struct {
-	task    string
-	attempt uint64
-}
-
 // attempts returns the attempts that the heartbeat lists. It may list several of one task, of which
 // all but one have exited, in any order.
-func (h *Heartbeat) attempts() map[attemptRef]bool {
-	listed := make(map[attemptRef]bool, len(h.Tasks))
+func (h *Heartbeat) attempts() map[fleet.AttemptRef]bool {
+	listed := make(map[fleet.AttemptRef]bool, len(h.Tasks))
 	for k := range h.Tasks {
-		listed[attemptRef{h.Tasks[k].Name, h.Tasks[k].Attempt}] = true
+		listed[fleet.AttemptRef{Task: h.Tasks[k].Name, Attempt: h.Tasks[k].Attempt}] = true
 	}
 	return listed
 }
@@ -212,13 +208,17 @@
 	listed := heartbeat.attempts()
 	for ref := range machine.Placed {
 		job, task := ref.Job, ref.Job.Task(ref.Index)
-		if listed[attemptRef{jobstate.TaskName(job.ID, ref.Index), uint64(task.Attempt)}] {
+		name := jobstate.TaskName(job.ID, ref.Index)
+		if listed[fleet.AttemptRef{Task: name, Attempt: uint64(task.Attempt)}] {
 			continue
 		}
 		switch {
 		case machine.SeqRestarted() && (task.Confirmed || task.IsStopping() && task.StartSent):
 			// The heartbeat may be a copy from before the sequence numbers restarted,
 			// so the machine is probed; see needsProbe.
+		case (task.Confirmed || task.IsStopping()) && machine.StartMayRepeat(name, uint64(task.Attempt), w.now):
+			// The machine may have been restarted right after the start, and a copy of the
+			// start may reach it yet.
 		case task.Confirmed && machine.HasCurrentToken:
 			// The task was on the machine and is gone: it ended with the worker's previous
 			// epoch.
--- a/internal/core/tasks.go
+++ b/internal/core/tasks.go
@@ -197,6 +197,7 @@
 	case ExitNoRoom, ExitBusy, ExitUnknownTask:
 		job.NotBefore = t.now + notStartedBackoff
 	}
+	t.holdExitedStart(machine, job, status)
 	if job.Kind == jobstate.Gang && job.Outcome() == "" {
 		t.abandonGangAttempt(job, status.Reason == ExitGangIncomplete)
 	}
--- a/internal/emulator/environment/environment.go
+++ b/internal/emulator/environment/environment.go
@@ -177,8 +177,10 @@
 	gangs       map[gangKey]*gang
 	duplicates  duplicateReports
 	heldReports heldReports
-	jobs        map[string]*jobUser
-	sweeps      []*sweepUser
+	// answerCopyShare is the share of workers' answers that are delivered twice.
+	answerCopyShare float64
+	jobs            map[string]*jobUser
+	sweeps          []*sweepUser
 
 	// Record is called with each event as it happens.
 	Record func(history.Event)
--- a/internal/emulator/environment/fault_kinds.go
+++ b/internal/emulator/environment/fault_kinds.go
@@ -36,6 +36,7 @@
 	FaultWorkerReset            FaultKind = "machine_anew"
 	FaultMachineReportsBlocked  FaultKind = "machine_mute"
 	FaultReportCopies           FaultKind = "report_copies"
+	FaultAnswerCopies           FaultKind = "answer_copies"
 	FaultCancelNow              FaultKind = "cancel_now"
 	FaultCancelAtEnd            FaultKind = "cancel_at_end"
 	FaultProbes                 FaultKind = "close_looks"
@@ -76,6 +77,7 @@
 	FaultWorkerReset:            {help: "machines lose their tasks and are back after For; their reports' numbers begin anew", prepare: restartMachines},
 	FaultMachineReportsBlocked:  {help: "machines reach no controller, while direct commands reach them", prepare: machineFault(func(m *machine, _ Fault) func() { m.reportsBlocked = true; return func() { m.reportsBlocked = false } })},
 	FaultReportCopies:           {help: "copies of Share of the reports come again, up to Factor leases late, or to all controllers as the next leader begins", prepare: copyReports},
+	FaultAnswerCopies:           {help: "copies of Share of the answers to reports reach their worker again, up to 4 s after the report", prepare: copyAnswers},
 	FaultCancelNow:              {help: "Count jobs that have long to go are cancelled within a fifth of a second; eight of their machines hang for For", prepare: cancelJobsNow},
 	FaultCancelAtEnd:            {help: "Share of the jobs that end are cancelled, asked about and submitted again at that moment", prepare: cancelJobsAtEnd},
 	FaultProbes:                 {help: "users ask at all controllers within milliseconds after each acceptance and each end", prepare: toggle(func(env *Environment, on bool) { env.balancer.probeAfterAnswers = on })},
--- a/internal/emulator/environment/machine.go
+++ b/internal/emulator/environment/machine.go
@@ -225,6 +225,7 @@
 		m.updateToken(heartbeat.Token)
 		m.lastAnsweredAt = c.sentAt
 		m.executeOrders(heartbeat.Orders)
+		c.repeatAnswer(heartbeat)
 	case answer.Status == http.StatusMisdirectedRequest && heartbeat.Leader != c.to && env.controller(heartbeat.Leader) != nil:
 		c.finish(slices.Index(env.controllers, env.controller(heartbeat.Leader)), 1+env.rng.Int64N(maxRedirectDelay))
 	default:
--- a/internal/emulator/history/history.go
+++ b/internal/emulator/history/history.go
@@ -55,6 +55,7 @@
 // The occurrences: values of Reason in events of the kind Occurred.
 const (
 	OccurHeldCopy    = "a copy kept for the next leader"
+	OccurStartCopy   = "a copy of a start that its worker does not know"
 	OccurProbe       = "a close look"
 	OccurMuteReport  = "a report that reaches no controller"
 	OccurCancel      = "a job called off"
