--- a/internal/emulator/faketime/answer_copies_test.go
+++ b/internal/emulator/faketime/answer_copies_test.go
@@ -61,7 +61,8 @@
 	t.Helper()
 	d := newTestRun(seed)
 	d.addShortJobs()
-	d.Faults = append(faults, fault{At: 20 * second, Duration: 200 * second, Kind: environment.FaultAnswerCopies, Share: 0.8})
+	copies := fault{At: 20 * second, Duration: 200 * second, Kind: environment.FaultAnswerCopies, Share: 0.8}
+	d.Faults = slices.Concat(faults, []fault{copies}) // the runs of a case share its faults
 	return d.runAndCheck(t)
 }
 
