Status and metrics: reordered reads are shown, and counted by revision only

What operators saw: reordered_reads and zinclb_reads_reordered_total were always 0, since the view was never given the count. The count also took the order of the keys of one transaction for another order, which the help text does not say.

TestReorderedReads fails without the view's line (got 0, want 2). How changes are applied is as it was.

--- a/internal/core/changeorder_test.go
+++ b/internal/core/changeorder_test.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// TestReorderedReads checks that operators see how many reads listed changes in another order than that
+// of their revisions. The order of the keys of one transaction does not count.
+func TestReorderedReads(t *testing.T) {
+	core := newFollowerCore()
+	changes := func(revisions ...uint64) (list []Change) {
+		for i, revision := range revisions {
+			list = append(list, Change{Key: fmt.Sprint("zinclb/x/", len(revisions)-i), Value: []byte("1"), Revision: revision})
+		}
+		return list
+	}
+	for i, read := range []StateRead{
+		{AfterRevision: 1, Revision: 3, Changes: changes(2, 3)},
+		{AfterRevision: 3, Revision: 4, Changes: changes(4, 4)},
+		{AfterRevision: 4, Revision: 6, Changes: changes(6, 5)},
+		{AfterRevision: 6, Revision: 9, Changes: changes(8, 7, 9)},
+	} {
+		read.Immediate = true
+		core.Step(int64(i+2)*second, read)
+	}
+	if got := core.operators.view().ReorderedReads; got != 2 {
+		t.Errorf("got %d reordered reads, want 2", got)
+	}
+}
+
 // newFollowerCore returns a core that has read an empty state and does not lead.
 func newFollowerCore() *Core {
 	settings := Settings{Name: "n0", Incarnation: "b", Peers: []string{"n1"}, Ops: config.Defaults()}
--- a/internal/core/kv/kv.go
+++ b/internal/core/kv/kv.go
@@ -30,21 +30,23 @@
 }
 
 // InOrder returns the changes in the order of their revisions, and those of one transaction, which
-// have the same revision, in the order of their keys. reordered reports whether they were in another
-// order; InOrder then returns a copy and leaves its argument unchanged.
+// have the same revision, in the order of their keys. It leaves its argument unchanged. reordered
+// reports whether the revisions were in another order.
 func InOrder(changes []Change) (ordered []Change, reordered bool) {
 	if slices.IsSortedFunc(changes, compareChanges) {
 		return changes, false
 	}
 	ordered = slices.Clone(changes)
 	slices.SortStableFunc(ordered, compareChanges)
-	return ordered, true
+	return ordered, !slices.IsSortedFunc(changes, compareRevisions)
 }
 
 func compareChanges(a, b Change) int {
-	return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+	return cmp.Or(compareRevisions(a, b), cmp.Compare(a.Key, b.Key))
 }
 
+func compareRevisions(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) }
+
 // RevisionIs returns the condition that a key has a revision, 0 for absent.
 func RevisionIs(key string, revision uint64) Condition {
 	return Condition{Key: key, Revision: revision}
--- a/internal/core/operatorviewer.go
+++ b/internal/core/operatorviewer.go
@@ -40,16 +40,18 @@
 	o.elector.updateNewestLeader(o.cache.leader)
 	newest := o.elector.newestLeader
 	v := &OperatorView{
-		Controller:    o.settings.Name,
-		Leader:        newest.Name,
-		FencingToken:  newest.Token,
-		Leading:       o.elector.isLeader(),
-		Synced:        o.cache.synced,
-		Revision:      o.cache.appliedRevision,
-		StateAgeS:     inSeconds(o.health.outageAge()),
-		WritesLeft:    o.health.writesLeft(),
-		ReadsLeft:     o.health.readsLeft(),
-		ReadsBy:       o.reader.readSource(),
+		Controller:     o.settings.Name,
+		Leader:         newest.Name,
+		FencingToken:   newest.Token,
+		Leading:        o.elector.isLeader(),
+		Synced:         o.cache.synced,
+		Revision:       o.cache.appliedRevision,
+		StateAgeS:      inSeconds(o.health.outageAge()),
+		WritesLeft:     o.health.writesLeft(),
+		ReadsLeft:      o.health.readsLeft(),
+		ReadsBy:        o.reader.readSource(),
+		ReorderedReads: o.cache.reorderedReads,
+
 		Jobs:          len(o.cache.jobs),
 		Format:        max(o.membership.format.Version, 1),
 		LimitsLowered: o.membership.limitsLowered,
--- a/internal/core/statecache.go
+++ b/internal/core/statecache.go
@@ -53,7 +53,7 @@
 	listingState    bool
 	appliedRevision uint64
 	freshAt         int64
-	// reorderedReads counts the answers whose changes were not in order.
+	// reorderedReads counts the answers whose changes were not in the order of their revisions.
 	reorderedReads uint64
 
 	// jobs are the unfinished jobs and those whose keys have yet to be removed, by ID.
